--- /dev/null
+++ b/apps/pomelo_control.cpp
@@ -0,0 +1,41 @@
+#include "pomeloswitch/cli/daemon.hpp"
+#include "pomeloswitch/control/control_host.hpp"
+#include "pomeloswitch/raft/local_log.hpp"
+
+using namespace pomelo;
+
+namespace {
+
+constexpr std::string_view Name = "pomelo-control";
+
+int serve(int Argc, char **Argv) {
+  const daemon_options Options = parseDaemonOptions(
+      Name, "pomelo-control: holds the replicated state of a deployment.", Argc,
+      Argv);
+  control_settings Settings =
+      parseControlSettings(readFile(Options.SettingsFile));
+  if (Options.CheckOnly)
+    return 0;
+  applyLogSettings(Settings.Log);
+  boost::asio::io_context Io{1};
+  auto Log = std::make_unique<local_log>(Settings.HostId);
+  const auto Host = control_host::builder()
+                        .withIo(Io)
+                        .withSettings(std::move(Settings))
+                        .withLog(std::move(Log))
+                        .build();
+  Host->start();
+  stopOnSignal(Io, [&Host, &Io] {
+    Host->stop();
+    Io.stop();
+  });
+  writeReadyFile(Options.ReadyFile, Host->describe());
+  Io.run();
+  return 0;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return runDaemon(Name, [=] { return serve(Argc, Argv); });
+}
--- /dev/null
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -0,0 +1,90 @@
+#include "pomeloswitch/cli/daemon.hpp"
+
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/observe/log.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+
+namespace pomelo {
+namespace {
+
+constexpr std::string_view Version = "pomeloswitch 0.1.0";
+
+constexpr std::string_view UsageFormat = R"({1}
+
+Usage:
+  {0} --settings=FILE [--check-config] [--ready-file=FILE]
+  {0} (-h | --help)
+  {0} --version
+
+Options:
+  --settings=FILE    The settings, a JSON file.
+  --check-config     Check the settings and exit: 0 if they are valid, 2 if not.
+  --ready-file=FILE  Write the bound addresses there, as JSON, once ready.
+  -h --help          Show this text.
+  --version          Show the version.
+
+Exit codes: 0 stopped as asked, 1 internal error, 2 bad settings.
+)";
+
+} // namespace
+
+daemon_options parseDaemonOptions(std::string_view Name,
+                                  std::string_view Purpose, int Argc,
+                                  char **Argv) {
+  const std::string Usage = fmt::format(UsageFormat, Name, Purpose);
+  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true,
+                                        std::string(Version));
+  daemon_options Options;
+  Options.SettingsFile = Arguments.at("--settings").asString();
+  Options.CheckOnly = Arguments.at("--check-config").asBool();
+  if (Arguments.at("--ready-file"))
+    Options.ReadyFile = Arguments.at("--ready-file").asString();
+  return Options;
+}
+
+int runDaemon(std::string_view Name, const std::function<int()> &Main) {
+  try {
+    return Main();
+  } catch (const pomelo_error &Failure) {
+    fmt::print(stderr, "{}: {}\n", Name, Failure.what());
+    return answerFor(Failure.kind()).ExitCode;
+  } catch (const boost::system::system_error &Failure) {
+    fmt::print(stderr, "{}: {}\n", Name, Failure.what());
+    return answerFor(error_kind::BadSettings).ExitCode;
+  } catch (const std::exception &Failure) {
+    fmt::print(stderr, "{}: {}\n", Name, Failure.what());
+    return answerFor(error_kind::Internal).ExitCode;
+  }
+}
+
+void stopOnSignal(boost::asio::io_context &Io, std::function<void()> OnStop) {
+  auto Signals = std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT);
+  Signals->async_wait([Signals, OnStop = std::move(OnStop)](
+                          boost::system::error_code Error, int) {
+    if (!Error)
+      OnStop();
+  });
+}
+
+void writeReadyFile(const std::string &Path, std::string_view Description) {
+  if (Path.empty())
+    return;
+  const std::string Draft = Path + ".tmp";
+  std::ofstream(Draft) << Description << '\n';
+  std::filesystem::rename(Draft, Path);
+}
+
+void applyLogSettings(const log_settings &Settings) {
+  configureLogging(parseLogLevel(Settings.Level), Settings.File);
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -0,0 +1,231 @@
+#include "pomeloswitch/cli/operator_commands.hpp"
+
+#include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/settings/json_document.hpp"
+#include "pomeloswitch/wire/secret_hash.hpp"
+
+#include <boost/json.hpp>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+
+namespace pomelo {
+namespace {
+
+namespace json = boost::json;
+using arguments = std::map<std::string, docopt::value>;
+
+constexpr const char *Usage = R"(pomeloctl: operates a pomeloswitch deployment.
+
+Usage:
+  pomeloctl [options] status
+  pomeloctl [options] inventory show
+  pomeloctl [options] inventory apply FILE
+  pomeloctl [options] rules show
+  pomeloctl [options] rules apply FILE
+  pomeloctl [options] key issue ACCOUNT
+  pomeloctl [options] key withdraw KEY_ID
+  pomeloctl [options] domain (out | in) NAME
+  pomeloctl [options] target (out | in) NAME
+  pomeloctl [options] explain SERVICE KEY
+  pomeloctl (-h | --help)
+  pomeloctl --version
+
+Options:
+  --control=LIST       Administration addresses of the control hosts, separated
+                       by commas. Default: the variable POMELO_CONTROL.
+  --credential=FILE    File with the operator's credential. Default: the file
+                       that the variable POMELO_CREDENTIAL_FILE names.
+  --base=VERSION       Make the change only if this version is in force.
+  --operation=ID       Operation id of the change; the same id given again
+                       returns the first answer. Default: a random one.
+  --json               Print the answer as JSON.
+  -h --help            Show this text.
+  --version            Show the version.
+
+Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
+change; 4 version conflict; 5 not the leader; 6 no quorum, outcome unknown;
+7 not found; 8 storage failed; 10 bad request; 11 credential refused.
+)";
+
+std::string optionOr(const arguments &Arguments, const std::string &Option,
+                     const char *Variable) {
+  if (Arguments.at(Option))
+    return Arguments.at(Option).asString();
+  const char *Value = Variable ? std::getenv(Variable) : nullptr;
+  return Value ? Value : "";
+}
+
+std::vector<std::string> splitList(const std::string &List) {
+  std::vector<std::string> Items;
+  std::istringstream Stream(List);
+  for (std::string Item; std::getline(Stream, Item, ',');)
+    if (!Item.empty())
+      Items.push_back(Item);
+  return Items;
+}
+
+admin_client makeClient(const arguments &Arguments) {
+  const auto Addresses =
+      splitList(optionOr(Arguments, "--control", "POMELO_CONTROL"));
+  if (Addresses.empty())
+    throw pomelo_error(error_kind::BadSettings,
+                       "give the control hosts with --control or "
+                       "POMELO_CONTROL");
+  const std::string File =
+      optionOr(Arguments, "--credential", "POMELO_CREDENTIAL_FILE");
+  if (File.empty())
+    throw pomelo_error(error_kind::BadSettings,
+                       "give the credential's file with --credential or "
+                       "POMELO_CREDENTIAL_FILE");
+  std::string Credential = readFile(File);
+  while (!Credential.empty() && Credential.back() == '\n')
+    Credential.pop_back();
+  return {Addresses, Credential};
+}
+
+bool given(const arguments &Arguments, const std::string &Word) {
+  return Arguments.at(Word).asBool();
+}
+
+admin_request read(std::string Target) {
+  return {"GET", std::move(Target), {}, {}, {}};
+}
+
+admin_request change(const arguments &Arguments, std::string Method,
+                     std::string Target, std::string Body) {
+  admin_request Request{
+      std::move(Method), std::move(Target), std::move(Body), {}, {}};
+  Request.OperationId = Arguments.at("--operation")
+                            ? Arguments.at("--operation").asString()
+                            : randomHex(12);
+  if (Arguments.at("--base"))
+    Request.BaseVersion =
+        static_cast<std::uint64_t>(Arguments.at("--base").asLong());
+  return Request;
+}
+
+std::string percentEncoded(std::string_view Text) {
+  std::string Encoded;
+  for (const char Character : Text)
+    if (std::isalnum(static_cast<unsigned char>(Character)))
+      Encoded.push_back(Character);
+    else
+      Encoded += fmt::format("%{:02X}", static_cast<unsigned char>(Character));
+  return Encoded;
+}
+
+admin_request drainRequest(const arguments &Arguments, std::string_view Scope) {
+  const json::object Body{{"scope", Scope},
+                          {"name", Arguments.at("NAME").asString()},
+                          {"out", given(Arguments, "out")}};
+  return change(Arguments, "POST", "/v1/drains", json::serialize(Body));
+}
+
+admin_request keyRequest(const arguments &Arguments) {
+  if (given(Arguments, "issue"))
+    return change(Arguments, "POST", "/v1/keys",
+                  json::serialize(json::object{
+                      {"account", Arguments.at("ACCOUNT").asString()}}));
+  return change(Arguments, "POST", "/v1/keys/withdraw",
+                json::serialize(json::object{
+                    {"key_id", Arguments.at("KEY_ID").asString()}}));
+}
+
+admin_request documentRequest(const arguments &Arguments, std::string Target) {
+  if (given(Arguments, "show"))
+    return read(std::move(Target));
+  return change(Arguments, "PUT", std::move(Target),
+                readFile(Arguments.at("FILE").asString()));
+}
+
+admin_request makeRequest(const arguments &Arguments) {
+  if (given(Arguments, "inventory"))
+    return documentRequest(Arguments, "/v1/inventory");
+  if (given(Arguments, "rules"))
+    return documentRequest(Arguments, "/v1/rules");
+  if (given(Arguments, "key"))
+    return keyRequest(Arguments);
+  if (given(Arguments, "domain"))
+    return drainRequest(Arguments, "failure_domain");
+  if (given(Arguments, "target"))
+    return drainRequest(Arguments, "target");
+  if (given(Arguments, "explain"))
+    return read(fmt::format("/v1/explain?service={}&key={}",
+                            percentEncoded(Arguments.at("SERVICE").asString()),
+                            percentEncoded(Arguments.at("KEY").asString())));
+  return read("/v1/status");
+}
+
+//! Prints nested values as indented lines of "name: value".
+void printForPeople(const json::value &Value, int Depth) {
+  const std::string Indent(static_cast<std::size_t>(Depth) * 2, ' ');
+  if (Value.is_object()) {
+    for (const auto &[Name, Member] : Value.as_object()) {
+      const bool Nested = Member.is_structured();
+      fmt::print("{}{}:{}", Indent, std::string_view(Name),
+                 Nested ? "\n" : " ");
+      printForPeople(Member, Nested ? Depth + 1 : 0);
+    }
+    return;
+  }
+  if (Value.is_array()) {
+    for (const auto &Item : Value.as_array())
+      fmt::print("{}- {}\n", Indent, json::serialize(Item));
+    return;
+  }
+  fmt::print("{}\n", Value.is_string() ? std::string(Value.as_string())
+                                       : json::serialize(Value));
+}
+
+int run(const arguments &Arguments) {
+  const admin_request Request = makeRequest(Arguments);
+  const json::object Answer = makeClient(Arguments).call(Request);
+  if (given(Arguments, "--json"))
+    fmt::print("{}\n", json::serialize(Answer));
+  else
+    printForPeople(Answer, 0);
+  return 0;
+}
+
+int reportFailure(const arguments &Arguments, const pomelo_error &Failure) {
+  const error_answer &Answer = answerFor(Failure.kind());
+  if (given(Arguments, "--json"))
+    fmt::print("{}\n",
+               json::serialize(json::object{{"error", Answer.Name},
+                                            {"message", Failure.what()}}));
+  else
+    fmt::print(stderr, "pomeloctl: {}: {}\n", Answer.Name, Failure.what());
+  return Answer.ExitCode;
+}
+
+} // namespace
+
+int runOperatorCommand(const std::vector<std::string> &Words) {
+  arguments Arguments;
+  try {
+    Arguments = docopt::docopt_parse(Usage, Words, true, true);
+  } catch (const docopt::DocoptExitHelp &) {
+    fmt::print("{}", Usage);
+    return 0;
+  } catch (const docopt::DocoptExitVersion &) {
+    fmt::print("pomeloctl 0.1.0\n");
+    return 0;
+  } catch (const std::exception &) {
+    fmt::print(stderr, "pomeloctl: the command line is not valid; see "
+                       "pomeloctl --help\n");
+    return answerFor(error_kind::BadSettings).ExitCode;
+  }
+  try {
+    return run(Arguments);
+  } catch (const pomelo_error &Failure) {
+    return reportFailure(Arguments, Failure);
+  }
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/control/admin_api.cpp
@@ -0,0 +1,316 @@
+#include "pomeloswitch/control/admin_api.hpp"
+
+#include "pomeloswitch/membership/lease_table.hpp"
+#include "pomeloswitch/raft/replicated_log.hpp"
+#include "pomeloswitch/routing/authentication.hpp"
+#include "pomeloswitch/routing/route_table.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
+#include "pomeloswitch/settings/control_settings.hpp"
+#include "pomeloswitch/state/key_slot.hpp"
+#include "pomeloswitch/wire/generated/inner.pb.h"
+#include "pomeloswitch/wire/secret_hash.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <memory>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using std::chrono::steady_clock;
+
+constexpr std::string_view Scheme = "Bearer ";
+constexpr std::string_view OperationField = "Pomelo-Operation-Id";
+constexpr std::string_view BaseField = "Pomelo-Base-Version";
+constexpr auto ChangeTimeout = std::chrono::seconds(5);
+
+std::string_view pathOf(const text_request &Request) {
+  const std::string_view Target = Request.target();
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string queryValue(const text_request &Request, std::string_view Name) {
+  key_source Source;
+  Source.From = key_source::place::Query;
+  Source.Name = Name;
+  const request_facts Facts{Request.method_string(), Request.target(), {}};
+  const auto Value = extractKey(Source, Facts);
+  if (!Value)
+    throw pomelo_error(error_kind::BadRequest,
+                       fmt::format("the query needs \"{}\"", Name));
+  return *Value;
+}
+
+json::object parseBody(const text_request &Request) {
+  json::error_code Error;
+  json::value Body = json::parse(Request.body(), Error);
+  if (Error || !Body.is_object())
+    throw pomelo_error(error_kind::BadRequest, "the body is not a JSON object");
+  return std::move(Body.as_object());
+}
+
+std::string requiredText(const json::object &Body, std::string_view Name) {
+  const auto *Value = Body.if_contains(Name);
+  if (!Value || !Value->is_string() || Value->as_string().empty())
+    throw pomelo_error(error_kind::BadRequest,
+                       fmt::format("{}: a non-empty text is needed", Name));
+  return std::string(Value->as_string());
+}
+
+std::uint64_t parseVersion(std::string_view Text) {
+  std::uint64_t Version = 0;
+  const auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Version);
+  if (Failure != std::errc() || End != Text.data() + Text.size())
+    throw pomelo_error(error_kind::BadRequest,
+                       fmt::format("{}: not a number", BaseField));
+  return Version;
+}
+
+std::string_view phaseName(slot_phase Phase) {
+  constexpr std::array<std::string_view, 4> Names{"unowned", "granted",
+                                                  "active", "revoking"};
+  return Names[static_cast<std::size_t>(Phase)];
+}
+
+json::object documentOf(const cluster_state &State, const std::string &Text) {
+  return {
+      {"version", State.configVersion()},
+      {"document", Text.empty() ? json::value(nullptr) : json::parse(Text)}};
+}
+
+json::array describeHosts(const cluster_state &State, const lease_table &Leases,
+                          steady_clock::time_point Now) {
+  json::array Hosts;
+  for (const auto &[Id, Member] : State.entryHosts()) {
+    const host_status *Status = Leases.findHost(Id);
+    Hosts.push_back(
+        json::object{{"host_id", Id},
+                     {"failure_domain", Member.FailureDomain},
+                     {"live", !Leases.hostExpired(Id, Now)},
+                     {"applied_index", Status ? Status->AppliedIndex : 0},
+                     {"quiesced_index", Status ? Status->QuiescedIndex : 0},
+                     {"stopping", Status && Status->Stopping}});
+  }
+  return Hosts;
+}
+
+json::array describeTargets(const cluster_state &State,
+                            const lease_table &Leases,
+                            steady_clock::time_point Now) {
+  json::array Targets;
+  for (const auto &[Id, Member] : State.targets())
+    Targets.push_back(json::object{{"target_id", Id},
+                                   {"service", Member.Service},
+                                   {"failure_domain", Member.FailureDomain},
+                                   {"address", Member.Address},
+                                   {"live", !Leases.targetExpired(Id, Now)},
+                                   {"leaving", Member.Leaving},
+                                   {"out", State.takenOut(Member)}});
+  return Targets;
+}
+
+json::object describeSlots(const cluster_state &State) {
+  json::object Services;
+  for (const service &Service : State.inventoryPart()->Services) {
+    const auto Table = State.slotsPart(Service.Name);
+    if (!Table)
+      continue;
+    std::array<std::uint64_t, 4> Counts{};
+    for (const owned_slot &Slot : *Table)
+      ++Counts[static_cast<std::size_t>(Slot.Phase)];
+    json::object Phases;
+    for (std::size_t Phase = 0; Phase < Counts.size(); ++Phase)
+      Phases[phaseName(static_cast<slot_phase>(Phase))] = Counts[Phase];
+    Services[Service.Name] = std::move(Phases);
+  }
+  return Services;
+}
+
+} // namespace
+
+const admin_api::endpoint admin_api::Endpoints[] = {
+    {http::verb::get, "/v1/status", false, &admin_api::getStatus},
+    {http::verb::get, "/v1/inventory", true, &admin_api::getInventory},
+    {http::verb::get, "/v1/rules", true, &admin_api::getRules},
+    {http::verb::get, "/v1/explain", true, &admin_api::getExplain},
+    {http::verb::put, "/v1/inventory", true, &admin_api::putInventory},
+    {http::verb::put, "/v1/rules", true, &admin_api::putRules},
+    {http::verb::post, "/v1/keys", true, &admin_api::postKey},
+    {http::verb::post, "/v1/keys/withdraw", true, &admin_api::postWithdrawal},
+    {http::verb::post, "/v1/drains", true, &admin_api::postDrain},
+};
+
+asio::awaitable<text_response> admin_api::handle(const text_request &Request) {
+  checkOperator(Request);
+  const auto Found = std::find_if(
+      std::begin(Endpoints), std::end(Endpoints), [&](const endpoint &Each) {
+        return Each.Method == Request.method() && Each.Path == pathOf(Request);
+      });
+  if (Found == std::end(Endpoints))
+    throw pomelo_error(error_kind::NotFound, "no such endpoint");
+  if (Found->LeaderOnly && !Backend.log().leadershipConfirmed())
+    throw pomelo_error(
+        error_kind::NotLeader,
+        fmt::format("the leader is \"{}\"", Backend.log().leaderId()));
+  const json::object Answer = co_await (this->*Found->Handler)(Request);
+  co_return makeJsonResponse(json::serialize(Answer), Request.version());
+}
+
+void admin_api::checkOperator(const text_request &Request) const {
+  std::string_view Credential = Request[http::field::authorization];
+  if (Credential.starts_with(Scheme))
+    Credential.remove_prefix(Scheme.size());
+  const std::string Hash = sha256Hex(Credential);
+  bool Known = false;
+  for (const operator_settings &Operator : Backend.settings().Operators)
+    Known |= equalInConstantTime(Hash, Operator.KeySha256);
+  if (!Known)
+    throw pomelo_error(error_kind::Unauthenticated,
+                       "an operator's credential is needed");
+}
+
+asio::awaitable<json::object>
+admin_api::applyChange(const text_request &Request, wire::command Command) {
+  Command.set_operation_id(std::string(Request[OperationField]));
+  if (Request.count(BaseField))
+    Command.set_base_version(parseVersion(Request[BaseField]));
+  struct pending {
+    explicit pending(asio::io_context &Io) : Timer(Io) {}
+    asio::steady_timer Timer;
+    std::optional<apply_result> Result;
+    std::uint64_t Index = 0;
+  };
+  auto Pending = std::make_shared<pending>(Io);
+  Pending->Timer.expires_after(ChangeTimeout);
+  Backend.change(std::move(Command),
+                 [Pending](const apply_result &Result, std::uint64_t Index) {
+                   Pending->Result = Result;
+                   Pending->Index = Index;
+                   Pending->Timer.cancel();
+                 });
+  boost::system::error_code Ignored;
+  if (!Pending->Result)
+    co_await Pending->Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  if (!Pending->Result)
+    throw pomelo_error(error_kind::NoQuorum,
+                       "the change was not confirmed in time; send it again "
+                       "with the same operation id");
+  if (!Pending->Result->accepted())
+    throw pomelo_error(*Pending->Result->Refusal, Pending->Result->Message);
+  co_return json::object{{"version", Pending->Result->Version},
+                         {"index", Pending->Index}};
+}
+
+asio::awaitable<json::object> admin_api::getStatus(const text_request &) {
+  const cluster_state &State = Backend.state();
+  const auto Now = steady_clock::now();
+  const lease_table &Leases = Backend.leases();
+  json::array DomainsOut(State.domainsOut().begin(), State.domainsOut().end());
+  co_return json::object{{"host_id", Backend.settings().HostId},
+                         {"leader", Backend.log().leaderId()},
+                         {"leading", Backend.log().leadershipConfirmed()},
+                         {"index", State.index()},
+                         {"version", State.configVersion()},
+                         {"entry_hosts", describeHosts(State, Leases, Now)},
+                         {"targets", describeTargets(State, Leases, Now)},
+                         {"slots", describeSlots(State)},
+                         {"failure_domains_out", std::move(DomainsOut)}};
+}
+
+asio::awaitable<json::object> admin_api::getInventory(const text_request &) {
+  co_return documentOf(Backend.state(), Backend.state().inventoryJson());
+}
+
+asio::awaitable<json::object> admin_api::getRules(const text_request &) {
+  co_return documentOf(Backend.state(), Backend.state().rulesJson());
+}
+
+asio::awaitable<json::object>
+admin_api::getExplain(const text_request &Request) {
+  const std::string Service = queryValue(Request, "service");
+  const std::string Key = queryValue(Request, "key");
+  const auto Table = Backend.state().slotsPart(Service);
+  if (!Table)
+    throw pomelo_error(
+        error_kind::NotFound,
+        fmt::format("there is no service \"{}\" divided by key", Service));
+  const std::uint32_t Number =
+      slotOfKey(Key, static_cast<std::uint32_t>(Table->size()));
+  const owned_slot &Slot = (*Table)[Number];
+  co_return json::object{{"service", Service},
+                         {"key", Key},
+                         {"slot", Number},
+                         {"owner", Slot.Owner},
+                         {"token", Slot.Token},
+                         {"phase", phaseName(Slot.Phase)},
+                         {"since_index", Slot.ChangedIndex}};
+}
+
+asio::awaitable<json::object>
+admin_api::putInventory(const text_request &Request) {
+  wire::command Command;
+  Command.mutable_set_inventory()->set_json(Request.body());
+  co_return co_await applyChange(Request, std::move(Command));
+}
+
+asio::awaitable<json::object> admin_api::putRules(const text_request &Request) {
+  wire::command Command;
+  Command.mutable_set_rules()->set_json(Request.body());
+  co_return co_await applyChange(Request, std::move(Command));
+}
+
+asio::awaitable<json::object> admin_api::postKey(const text_request &Request) {
+  const json::object Body = parseBody(Request);
+  const std::string OperationId(Request[OperationField]);
+  const minted_key Key =
+      mintAccountKey(Backend.settings().ClusterSecret,
+                     OperationId.empty() ? randomHex(16) : OperationId);
+  wire::command Command;
+  auto *Issue = Command.mutable_issue_key();
+  Issue->set_account(requiredText(Body, "account"));
+  Issue->set_key_id(Key.Id);
+  Issue->set_key_hash(Key.Hash);
+  json::object Answer = co_await applyChange(Request, std::move(Command));
+  Answer["key_id"] = Key.Id;
+  Answer["key"] = Key.Text;
+  co_return Answer;
+}
+
+asio::awaitable<json::object>
+admin_api::postWithdrawal(const text_request &Request) {
+  const json::object Body = parseBody(Request);
+  wire::command Command;
+  Command.mutable_withdraw_key()->set_key_id(requiredText(Body, "key_id"));
+  co_return co_await applyChange(Request, std::move(Command));
+}
+
+asio::awaitable<json::object>
+admin_api::postDrain(const text_request &Request) {
+  const json::object Body = parseBody(Request);
+  wire::command Command;
+  auto *Drain = Command.mutable_set_drain();
+  const std::string Scope = requiredText(Body, "scope");
+  if (Scope != "failure_domain" && Scope != "target")
+    throw pomelo_error(error_kind::BadRequest,
+                       "scope: must be \"failure_domain\" or \"target\"");
+  Drain->set_scope(Scope == "target" ? wire::set_drain::TARGET
+                                     : wire::set_drain::FAILURE_DOMAIN);
+  Drain->set_name(requiredText(Body, "name"));
+  Drain->set_out(flagField(Body, "out", true));
+  co_return co_await applyChange(Request, std::move(Command));
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/control/admin_api.hpp
@@ -0,0 +1,87 @@
+//! The operators' HTTP/JSON interface.
+#ifndef POMELOSWITCH_CONTROL_ADMIN_API_HPP
+#define POMELOSWITCH_CONTROL_ADMIN_API_HPP
+
+#include "pomeloswitch/http/simple_server.hpp"
+#include "pomeloswitch/state/cluster_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/fwd.hpp>
+
+#include <functional>
+#include <string>
+
+namespace pomelo::wire {
+class command;
+} // namespace pomelo::wire
+
+namespace pomelo {
+
+class lease_table;
+class replicated_log;
+struct control_settings;
+
+//! What the administration API needs of its control host.
+class admin_backend {
+public:
+  using change_completion =
+      std::function<void(const apply_result &, std::uint64_t Index)>;
+
+  virtual ~admin_backend() = default;
+  virtual void change(wire::command Command, change_completion Done) = 0;
+  [[nodiscard]] virtual const cluster_state &state() const = 0;
+  [[nodiscard]] virtual const lease_table &leases() const = 0;
+  [[nodiscard]] virtual const replicated_log &log() const = 0;
+  [[nodiscard]] virtual const control_settings &settings() const = 0;
+};
+
+class admin_api {
+public:
+  admin_api(boost::asio::io_context &Io, admin_backend &Backend)
+      : Io(Io), Backend(Backend) {}
+
+  //! \throws pomelo_error for every refusal.
+  boost::asio::awaitable<text_response> handle(const text_request &Request);
+
+private:
+  using endpoint_handler = boost::asio::awaitable<boost::json::object> (
+      admin_api::*)(const text_request &Request);
+  struct endpoint {
+    boost::beast::http::verb Method;
+    std::string_view Path;
+    bool LeaderOnly;
+    endpoint_handler Handler;
+  };
+  static const endpoint Endpoints[];
+
+  void checkOperator(const text_request &Request) const;
+  boost::asio::awaitable<boost::json::object>
+  applyChange(const text_request &Request, wire::command Command);
+
+  boost::asio::awaitable<boost::json::object>
+  getStatus(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getInventory(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getRules(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getExplain(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  putInventory(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  putRules(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postKey(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postWithdrawal(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postDrain(const text_request &Request);
+
+  boost::asio::io_context &Io;
+  admin_backend &Backend;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -0,0 +1,300 @@
+#include "pomeloswitch/control/control_host.hpp"
+
+#include "pomeloswitch/membership/member_planner.hpp"
+#include "pomeloswitch/wire/generated/inner.pb.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr milliseconds TickInterval{20};
+constexpr std::size_t BatchBytes = 256 * 1024;
+constexpr std::size_t MaxKeptResults = 4096;
+
+std::uint64_t unixNowMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+} // namespace
+
+//! What a control host keeps about one link.
+struct control_host::session {
+  std::uint64_t NextIndex = 0; //!< Next entry to send; 0 if not subscribed.
+};
+
+control_host::builder &
+control_host::builder::withIo(boost::asio::io_context &Value) {
+  Io = &Value;
+  return *this;
+}
+
+control_host::builder &
+control_host::builder::withSettings(control_settings Value) {
+  Settings = std::move(Value);
+  return *this;
+}
+
+control_host::builder &
+control_host::builder::withLog(std::unique_ptr<replicated_log> Value) {
+  Log = std::move(Value);
+  return *this;
+}
+
+std::unique_ptr<control_host> control_host::builder::build() {
+  if (!Io || !Log)
+    throw pomelo_error(error_kind::BadSettings,
+                       "a control host needs an I/O context and a log");
+  return std::unique_ptr<control_host>(
+      new control_host(*Io, std::move(Settings), std::move(Log)));
+}
+
+control_host::control_host(boost::asio::io_context &Io,
+                           control_settings GivenSettings,
+                           std::unique_ptr<replicated_log> GivenLog)
+    : Io(Io), Settings(std::move(GivenSettings)), Log(std::move(GivenLog)),
+      Leases(lease_times()), Planner(planner_limits()), Ticker(Io) {
+  peer_link::handlers Handlers;
+  Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
+    Sessions.emplace(Link, std::make_unique<session>());
+  };
+  Handlers.OnMessage = [this](const std::shared_ptr<peer_link> &Link,
+                              const wire::envelope &Message) {
+    onMessage(Link, Message);
+  };
+  Handlers.OnClose = [this](const std::shared_ptr<peer_link> &Link) {
+    Sessions.erase(Link);
+  };
+  Listener = std::make_unique<peer_listener>(
+      Io, parseEndpoint(Settings.PeerAddress), Settings.ClusterSecret,
+      std::move(Handlers));
+  Admin = std::make_unique<admin_api>(Io, *this);
+  AdminServer = std::make_unique<simple_server>(
+      Io, parseEndpoint(Settings.AdminAddress),
+      [this](const text_request &Request) { return Admin->handle(Request); });
+}
+
+control_host::~control_host() = default;
+
+void control_host::start() {
+  Log->start(makeApplier());
+  tick();
+  Text.info("Control host {} serves operators on {}.", Settings.HostId,
+            toString(AdminServer->address()));
+}
+
+void control_host::stop() {
+  Ticker.cancel();
+  Log->stop();
+  Listener->stop();
+  AdminServer->stop();
+}
+
+replicated_log::applier control_host::makeApplier() {
+  replicated_log::applier Applier;
+  Applier.OnCommitted = [this](const committed_entry &Entry) {
+    onCommitted(Entry);
+  };
+  Applier.OnSnapshot = [this](std::uint64_t, const std::string &Bytes) {
+    wire::state_snapshot Snapshot;
+    if (!Snapshot.ParseFromString(Bytes))
+      throw pomelo_error(error_kind::StorageFailed,
+                         "a snapshot does not parse");
+    State = cluster_state::fromSnapshot(Snapshot);
+    sendLogToAll();
+  };
+  Applier.TakeSnapshot = [this] {
+    return State.toSnapshot().SerializeAsString();
+  };
+  Applier.OnLeadership = [this](bool Leading) {
+    PlannedInFlight = 0;
+    if (Leading)
+      Leases.startTerm(State, steady_clock::now());
+    Text.info("{} {} lead.", Settings.HostId,
+              Leading ? "begins to" : "ceases to");
+  };
+  return Applier;
+}
+
+void control_host::onCommitted(const committed_entry &Entry) {
+  wire::command Command;
+  if (!Command.ParseFromString(Entry.Command))
+    throw pomelo_error(error_kind::StorageFailed,
+                       "a committed command does not parse");
+  Results[Entry.Index] = State.apply(Entry.Index, Command);
+  if (Results.size() > MaxKeptResults)
+    Results.erase(Results.begin());
+  sendLogToAll();
+}
+
+void control_host::change(wire::command Command, change_completion Done) {
+  Command.set_time_ms(unixNowMs());
+  Log->propose(
+      Command.SerializeAsString(),
+      [this, Done = std::move(Done)](const proposal_outcome &Outcome) {
+        if (Outcome.Failure)
+          return Done({Outcome.Failure, 0, "the change was not committed"}, 0);
+        const auto Result = Results.find(Outcome.Index);
+        Done(Result == Results.end() ? apply_result() : Result->second,
+             Outcome.Index);
+      });
+}
+
+void control_host::onMessage(const std::shared_ptr<peer_link> &Link,
+                             const wire::envelope &Message) {
+  switch (Message.body_case()) {
+  case wire::envelope::kHeartbeat:
+    return onHeartbeat(Link, Message.heartbeat());
+  case wire::envelope::kSubscribe: {
+    session &Session = *Sessions.at(Link);
+    Session.NextIndex =
+        std::max<std::uint64_t>(1, Message.subscribe().next_index());
+    return sendLog(*Link, Session);
+  }
+  case wire::envelope::kProposal:
+    return onProposal(Link, Message.proposal());
+  default:
+    return;
+  }
+}
+
+void control_host::onHeartbeat(const std::shared_ptr<peer_link> &Link,
+                               const wire::heartbeat &Beat) {
+  if (!Log->leadershipConfirmed())
+    return;
+  const mono_time Now = steady_clock::now();
+  host_status Host;
+  Host.Announced = {Beat.host_id(), Beat.incarnation(), Beat.failure_domain()};
+  Host.AppliedIndex = Beat.applied_index();
+  Host.QuiescedIndex = Beat.quiesced_index();
+  Host.Stopping = Beat.stopping();
+  Host.HeardAt = Now;
+  if (!Leases.hostHeard(std::move(Host)))
+    return;
+  // Only a member's lease is waited for when slots move, so only a member
+  // gets one.
+  const auto Member = State.entryHosts().find(Beat.host_id());
+  if (Member == State.entryHosts().end() ||
+      Member->second.Incarnation != Beat.incarnation())
+    return;
+  wire::envelope Answer;
+  auto *Ack = Answer.mutable_heartbeat_ack();
+  Ack->set_sequence(Beat.sequence());
+  Ack->set_commit_index(Log->commitIndex());
+  Ack->set_lease_ms(
+      static_cast<std::uint32_t>(Leases.times().HostLease.count()));
+  for (const wire::target_report &Report : Beat.targets()) {
+    target_status Target;
+    const auto &Joined = Report.target();
+    Target.Announced = {Joined.target_id(),   Joined.incarnation(),
+                        Joined.service(),     Joined.failure_domain(),
+                        Joined.address(),     Joined.slots(),
+                        Joined.connections(), Joined.checks_fence(),
+                        Report.leaving(),     0};
+    Target.TakenIndex = Report.taken_index();
+    Target.SettledIndex = Report.settled_index();
+    Target.HeardAt = Now;
+    Leases.targetHeard(Target);
+    Ack->add_targets(Joined.target_id());
+  }
+  Link->send(Answer);
+}
+
+void control_host::onProposal(const std::shared_ptr<peer_link> &Link,
+                              const wire::proposal &Proposal) {
+  const std::uint64_t RequestId = Proposal.request_id();
+  change(Proposal.command(),
+         [Link, RequestId](const apply_result &Result, std::uint64_t Index) {
+           wire::envelope Answer;
+           auto *Out = Answer.mutable_proposal_result();
+           Out->set_request_id(RequestId);
+           Out->set_accepted(Result.accepted());
+           Out->set_error_kind(static_cast<std::uint32_t>(
+               Result.Refusal.value_or(error_kind::Internal)));
+           Out->set_version(Result.Version);
+           Out->set_message(Result.Message);
+           Out->set_index(Index);
+           Link->send(Answer);
+         });
+}
+
+void control_host::sendLogToAll() {
+  for (const auto &[Link, Session] : Sessions)
+    if (Session->NextIndex > 0)
+      sendLog(*Link, *Session);
+}
+
+void control_host::sendLog(peer_link &Link, session &Session) {
+  while (Session.NextIndex <= State.index() &&
+         Link.queuedBytes() < 4 * BatchBytes) {
+    wire::envelope Message;
+    auto *Batch = Message.mutable_log_batch();
+    const auto Entries = Log->entriesFrom(Session.NextIndex, BatchBytes);
+    if (!Entries) {
+      *Batch->mutable_snapshot() = State.toSnapshot();
+      Session.NextIndex = State.index() + 1;
+    } else {
+      for (const committed_entry &Entry : *Entries) {
+        if (Entry.Index > State.index())
+          break;
+        auto *Out = Batch->add_entries();
+        Out->set_index(Entry.Index);
+        Out->set_command(Entry.Command);
+        Session.NextIndex = Entry.Index + 1;
+      }
+      if (Batch->entries_size() == 0)
+        return;
+    }
+    Batch->set_commit_index(Log->commitIndex());
+    Batch->set_leader_id(Log->leaderId());
+    Link.send(Message);
+  }
+}
+
+void control_host::tick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    planAndPropose();
+    sendLogToAll();
+    tick();
+  });
+}
+
+//! A new plan is made once the one before has been applied, since plans follow
+//! from the applied state.
+void control_host::planAndPropose() {
+  if (!Log->leadershipConfirmed() || PlannedInFlight > 0)
+    return;
+  const mono_time Now = steady_clock::now();
+  std::vector<wire::command> Commands = planMembership(State, Leases, Now);
+  std::vector<wire::command> Moves = Planner.plan(State, Leases, Now);
+  std::move(Moves.begin(), Moves.end(), std::back_inserter(Commands));
+  PlannedInFlight = Commands.size();
+  for (wire::command &Command : Commands)
+    change(std::move(Command), [this](const apply_result &, std::uint64_t) {
+      if (PlannedInFlight > 0)
+        --PlannedInFlight;
+    });
+}
+
+std::string control_host::describe() const {
+  const boost::json::object Description{
+      {"role", "control"},
+      {"host_id", Settings.HostId},
+      {"failure_domain", Settings.FailureDomain},
+      {"peer_address", toString(Listener->address())},
+      {"admin_address", toString(AdminServer->address())}};
+  return boost::json::serialize(Description);
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -0,0 +1,103 @@
+//! The control process: replicated state, membership, ownership, operators.
+#ifndef POMELOSWITCH_CONTROL_CONTROL_HOST_HPP
+#define POMELOSWITCH_CONTROL_CONTROL_HOST_HPP
+
+#include "pomeloswitch/control/admin_api.hpp"
+#include "pomeloswitch/http/simple_server.hpp"
+#include "pomeloswitch/membership/lease_table.hpp"
+#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/ownership/slot_planner.hpp"
+#include "pomeloswitch/raft/replicated_log.hpp"
+#include "pomeloswitch/settings/control_settings.hpp"
+#include "pomeloswitch/state/cluster_state.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace pomelo::wire {
+class envelope;
+class heartbeat;
+class proposal;
+} // namespace pomelo::wire
+
+namespace pomelo {
+
+class control_host final : public admin_backend {
+public:
+  class builder;
+  ~control_host() override;
+
+  void start();
+  void stop();
+
+  //! The bound addresses as a JSON object.
+  [[nodiscard]] std::string describe() const;
+
+  // admin_backend
+  void change(wire::command Command, change_completion Done) override;
+  [[nodiscard]] const cluster_state &state() const override { return State; }
+  [[nodiscard]] const lease_table &leases() const override { return Leases; }
+  [[nodiscard]] const replicated_log &log() const override { return *Log; }
+  [[nodiscard]] const control_settings &settings() const override {
+    return Settings;
+  }
+
+private:
+  struct session;
+
+  control_host(boost::asio::io_context &Io, control_settings Settings,
+               std::unique_ptr<replicated_log> Log);
+
+  replicated_log::applier makeApplier();
+  void onCommitted(const committed_entry &Entry);
+  void onMessage(const std::shared_ptr<peer_link> &Link,
+                 const wire::envelope &Message);
+  void onHeartbeat(const std::shared_ptr<peer_link> &Link,
+                   const wire::heartbeat &Beat);
+  void onProposal(const std::shared_ptr<peer_link> &Link,
+                  const wire::proposal &Proposal);
+  void sendLog(peer_link &Link, session &Session);
+  void sendLogToAll();
+  void tick();
+  void planAndPropose();
+
+  boost::asio::io_context &Io;
+  control_settings Settings;
+  part_log Text{"control"};
+  std::unique_ptr<replicated_log> Log;
+  cluster_state State;
+  lease_table Leases;
+  slot_planner Planner;
+  std::map<std::uint64_t, apply_result> Results;
+  std::map<std::shared_ptr<peer_link>, std::unique_ptr<session>> Sessions;
+  std::unique_ptr<peer_listener> Listener;
+  std::unique_ptr<admin_api> Admin;
+  std::unique_ptr<simple_server> AdminServer;
+  boost::asio::steady_timer Ticker;
+  std::size_t PlannedInFlight = 0;
+};
+
+class control_host::builder {
+public:
+  builder &withIo(boost::asio::io_context &Value);
+  builder &withSettings(control_settings Value);
+  builder &withLog(std::unique_ptr<replicated_log> Value);
+  //! \throws pomelo_error BadSettings if a part is missing,
+  //!         boost::system::system_error if an address cannot be bound.
+  std::unique_ptr<control_host> build();
+
+private:
+  boost::asio::io_context *Io = nullptr;
+  control_settings Settings;
+  std::unique_ptr<replicated_log> Log;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/entry/announce_api.cpp
@@ -0,0 +1,149 @@
+#include "pomeloswitch/entry/announce_api.hpp"
+
+#include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/membership/lease_table.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
+#include "pomeloswitch/wire/generated/inner.pb.h"
+#include "pomeloswitch/wire/secret_hash.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::string_view Path = "/v1/announce";
+constexpr std::string_view Scheme = "Bearer ";
+constexpr auto RecordTimeout = std::chrono::milliseconds(1000);
+constexpr int NextAnnouncementMs = 200;
+
+const std::string &schema() {
+  static const std::string Schema = fmt::format(R"json({{
+  "definitions": {{ {} }},
+  "type": "object", "additionalProperties": false,
+  "required": ["target_id", "incarnation", "service", "failure_domain",
+               "address", "slots", "connections"],
+  "properties": {{
+    "target_id": {{"$ref": "#/definitions/name"}},
+    "incarnation": {{"type": "integer", "minimum": 1}},
+    "service": {{"$ref": "#/definitions/name"}},
+    "failure_domain": {{"$ref": "#/definitions/name"}},
+    "address": {{"$ref": "#/definitions/address"}},
+    "slots": {{"type": "integer", "minimum": 1, "maximum": 65536}},
+    "connections": {{"type": "integer", "minimum": 1, "maximum": 65536}},
+    "checks_fence": {{"type": "boolean"}},
+    "leaving": {{"type": "boolean"}},
+    "taken_index": {{"type": "integer", "minimum": 0}},
+    "settled_index": {{"type": "integer", "minimum": 0}}
+  }}
+}})json",
+                                                CommonDefinitions);
+  return Schema;
+}
+
+} // namespace
+
+asio::awaitable<text_response>
+announce_api::handle(const text_request &Request) {
+  if (Request.target() != Path || Request.method() != http::verb::post)
+    throw pomelo_error(error_kind::NotFound,
+                       "targets announce themselves with POST /v1/announce");
+  const wire::target_report Report = parse(Request);
+  auto Wait = std::make_shared<waiting>(Io);
+  Wait->Timer.expires_after(RecordTimeout);
+  const auto Place = Waiting.emplace(Report.target().target_id(), Wait);
+  Wait->Sequence = Session.report(Report);
+  boost::system::error_code Ignored;
+  co_await Wait->Timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+  Waiting.erase(Place);
+  if (!Wait->Recorded)
+    throw pomelo_error(error_kind::NoQuorum,
+                       "the control group did not record the announcement");
+  co_return makeJsonResponse(grantsOf(Report), Request.version());
+}
+
+wire::target_report announce_api::parse(const text_request &Request) const {
+  const document_kind Kind{"announcement", schema(), error_kind::BadRequest};
+  const boost::json::value Document = parseDocument(Kind, Request.body());
+  const auto &Object = Document.as_object();
+  const inventory &Inventory = *Session.state().inventoryPart();
+  const std::string ServiceName = textField(Object, "service");
+  const service *Service = Inventory.findService(ServiceName);
+  std::string_view Credential = Request[http::field::authorization];
+  if (Credential.starts_with(Scheme))
+    Credential.remove_prefix(Scheme.size());
+  if (!Service ||
+      !equalInConstantTime(sha256Hex(Credential), Service->AnnounceSha256))
+    throw pomelo_error(error_kind::Unauthenticated,
+                       "the credential does not fit the service");
+  wire::target_report Report;
+  auto *Target = Report.mutable_target();
+  Target->set_target_id(textField(Object, "target_id"));
+  Target->set_incarnation(
+      static_cast<std::uint64_t>(numberField(Object, "incarnation", 0)));
+  Target->set_service(ServiceName);
+  Target->set_failure_domain(textField(Object, "failure_domain"));
+  Target->set_address(textField(Object, "address"));
+  Target->set_slots(
+      static_cast<std::uint32_t>(numberField(Object, "slots", 1)));
+  Target->set_connections(
+      static_cast<std::uint32_t>(numberField(Object, "connections", 1)));
+  Target->set_checks_fence(flagField(Object, "checks_fence", false));
+  Report.set_leaving(flagField(Object, "leaving", false));
+  Report.set_taken_index(
+      static_cast<std::uint64_t>(numberField(Object, "taken_index", 0)));
+  Report.set_settled_index(
+      static_cast<std::uint64_t>(numberField(Object, "settled_index", 0)));
+  if (!Inventory.findFailureDomain(Target->failure_domain()))
+    refuseDocument(Kind, "failure_domain", "the inventory does not have it");
+  parseEndpoint(Target->address());
+  return Report;
+}
+
+std::string announce_api::grantsOf(const wire::target_report &Report) const {
+  const cluster_state &State = Session.state();
+  const auto &Id = Report.target().target_id();
+  const auto Member = State.targets().find(Id);
+  const bool Joined =
+      Member != State.targets().end() &&
+      Member->second.Incarnation == Report.target().incarnation();
+  boost::json::array Grants;
+  const auto Table = State.slotsPart(Report.target().service());
+  for (std::size_t Number = 0; Joined && Table && Number < Table->size();
+       ++Number) {
+    const owned_slot &Slot = (*Table)[Number];
+    if (Slot.Owner == Id &&
+        (Slot.Phase == slot_phase::Granted || Slot.Phase == slot_phase::Active))
+      Grants.push_back(
+          boost::json::object{{"slot", Number}, {"token", Slot.Token}});
+  }
+  const boost::json::object Answer{
+      {"index", State.index()},
+      {"lease_ms", lease_times().TargetLease.count()},
+      {"next_ms", NextAnnouncementMs},
+      {"joined", Joined},
+      {"grants", std::move(Grants)}};
+  return boost::json::serialize(Answer);
+}
+
+void announce_api::onAck(const wire::heartbeat_ack &Ack) {
+  for (const std::string &Id : Ack.targets()) {
+    const auto [First, Last] = Waiting.equal_range(Id);
+    for (auto Entry = First; Entry != Last; ++Entry) {
+      if (Ack.sequence() < Entry->second->Sequence)
+        continue;
+      Entry->second->Recorded = true;
+      Entry->second->Timer.cancel();
+    }
+  }
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -0,0 +1,207 @@
+#include "pomeloswitch/entry/control_session.hpp"
+
+#include "pomeloswitch/wire/generated/inner.pb.h"
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds BeatInterval{200};
+constexpr milliseconds HurriedBeat{5};
+//! Without an acknowledgement for this long, every control host is asked.
+constexpr milliseconds LeaderSilence{400};
+constexpr std::size_t MaxUnacknowledged = 64;
+
+} // namespace
+
+struct control_session::control_host {
+  std::string Id;
+  std::unique_ptr<peer_dialer> Dialer;
+};
+
+control_session::control_session(boost::asio::io_context &Io,
+                                 const entry_settings &Settings,
+                                 std::uint64_t Incarnation,
+                                 authority &Authority, callbacks Callbacks)
+    : Io(Io), Settings(Settings), Incarnation(Incarnation),
+      Authority(Authority), Callbacks(std::move(Callbacks)), BeatTimer(Io) {
+  for (const host_address &Address : Settings.ControlHosts) {
+    auto Host = std::make_unique<control_host>();
+    Host->Id = Address.Id;
+    Host->Dialer = std::make_unique<peer_dialer>(
+        Io, parseEndpoint(Address.Address), Settings.ClusterSecret,
+        handlersOf(*Host));
+    Hosts.push_back(std::move(Host));
+  }
+}
+
+control_session::~control_session() = default;
+
+peer_link::handlers control_session::handlersOf(control_host &Host) {
+  peer_link::handlers Handlers;
+  Handlers.OnOpen = [this, &Host](const std::shared_ptr<peer_link> &Link) {
+    wire::envelope Hello;
+    Hello.mutable_hello()->set_role(wire::hello::ENTRY);
+    Hello.mutable_hello()->set_id(Settings.HostId);
+    Hello.mutable_hello()->set_incarnation(Incarnation);
+    Hello.mutable_hello()->set_failure_domain(Settings.FailureDomain);
+    Link->send(Hello);
+    Log.info("Control host {} connected.", Host.Id);
+    if (!Source)
+      subscribe(Host);
+    hurry();
+  };
+  Handlers.OnMessage = [this, &Host](const std::shared_ptr<peer_link> &,
+                                     const wire::envelope &Message) {
+    onMessage(Host, Message);
+  };
+  Handlers.OnClose = [this, &Host](const std::shared_ptr<peer_link> &) {
+    if (Leader == &Host)
+      Leader = nullptr;
+    if (Source != &Host)
+      return;
+    Source = nullptr;
+    for (const auto &Other : Hosts)
+      if (Other->Dialer->open())
+        return subscribe(*Other);
+  };
+  return Handlers;
+}
+
+void control_session::start() {
+  for (const auto &Host : Hosts)
+    Host->Dialer->start();
+  scheduleBeat(BeatInterval);
+}
+
+void control_session::stop() {
+  BeatTimer.cancel();
+  for (const auto &Host : Hosts)
+    Host->Dialer->stop();
+}
+
+void control_session::subscribe(control_host &Host) {
+  Source = &Host;
+  wire::envelope Message;
+  Message.mutable_subscribe()->set_next_index(State.index() + 1);
+  Host.Dialer->send(Message);
+}
+
+void control_session::onMessage(control_host &Host,
+                                const wire::envelope &Message) {
+  if (Message.has_log_batch())
+    onLogBatch(Host, Message.log_batch());
+  else if (Message.has_heartbeat_ack())
+    onAck(Host, Message.heartbeat_ack());
+}
+
+void control_session::applySnapshot(const wire::log_batch &Batch) {
+  if (!Batch.has_snapshot() || Batch.snapshot().index() <= State.index())
+    return;
+  State = cluster_state::fromSnapshot(Batch.snapshot());
+  Log.info("State taken over at index {}.", State.index());
+}
+
+void control_session::onLogBatch(control_host &Host,
+                                 const wire::log_batch &Batch) {
+  if (&Host != Source)
+    return;
+  const std::uint64_t Before = State.index();
+  applySnapshot(Batch);
+  for (const auto &Entry : Batch.entries()) {
+    if (Entry.index() <= State.index())
+      continue;
+    if (Entry.index() != State.index() + 1)
+      return subscribe(Host);
+    wire::command Command;
+    if (!Command.ParseFromString(Entry.command()))
+      throw pomelo_error(error_kind::Internal,
+                         "a committed command does not parse");
+    State.apply(Entry.index(), Command);
+  }
+  if (State.index() == Before)
+    return;
+  Callbacks.OnState(State);
+  grantAuthority();
+  hurry();
+}
+
+void control_session::onAck(control_host &Host,
+                            const wire::heartbeat_ack &Ack) {
+  const auto Sent = SentAt.find(Ack.sequence());
+  if (Sent == SentAt.end())
+    return;
+  const steady_time Until = Sent->second + milliseconds(Ack.lease_ms());
+  SentAt.erase(SentAt.begin(), std::next(Sent));
+  LastAck = steady_clock::now();
+  Leader = &Host;
+  if (Source != &Host)
+    subscribe(Host);
+  if (Until > LeaseUntil) {
+    LeaseUntil = Until;
+    LeaseIndex = std::max<std::uint64_t>(LeaseIndex, Ack.commit_index());
+  }
+  grantAuthority();
+  Callbacks.OnAck(Ack);
+}
+
+//! The lease counts only for a host whose state has all that was committed
+//! when the leader granted it.
+void control_session::grantAuthority() {
+  if (State.index() >= LeaseIndex)
+    Authority.extendTo(LeaseUntil);
+}
+
+std::uint64_t control_session::report(const wire::target_report &Report) {
+  Reports[Report.target().target_id()] =
+      std::make_unique<wire::target_report>(Report);
+  hurry();
+  return NextSequence;
+}
+
+void control_session::hurry() { scheduleBeat(HurriedBeat); }
+
+void control_session::scheduleBeat(milliseconds Delay) {
+  const steady_time Due = steady_clock::now() + Delay;
+  if (BeatDue != steady_time() && BeatDue <= Due)
+    return;
+  BeatDue = Due;
+  BeatTimer.expires_at(Due);
+  BeatTimer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    BeatDue = steady_time();
+    beat();
+    scheduleBeat(BeatInterval);
+  });
+}
+
+void control_session::beat() {
+  wire::envelope Message;
+  auto *Beat = Message.mutable_heartbeat();
+  Beat->set_sequence(NextSequence++);
+  Beat->set_host_id(Settings.HostId);
+  Beat->set_incarnation(Incarnation);
+  Beat->set_failure_domain(Settings.FailureDomain);
+  Beat->set_applied_index(State.index());
+  Beat->set_quiesced_index(Callbacks.QuiescedIndex());
+  Beat->set_stopping(Stopping);
+  for (auto &[Id, Report] : Reports)
+    *Beat->add_targets() = *Report;
+  const steady_time Now = steady_clock::now();
+  SentAt[Beat->sequence()] = Now;
+  if (SentAt.size() > MaxUnacknowledged)
+    SentAt.erase(SentAt.begin());
+  const bool LeaderKnown = Leader && Now - LastAck < LeaderSilence;
+  for (const auto &Host : Hosts)
+    if (!LeaderKnown || Host.get() == Leader)
+      Host->Dialer->send(Message);
+  if (LeaderKnown)
+    Reports.clear();
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -0,0 +1,97 @@
+//! The entry host's side of its links to the control hosts.
+#ifndef POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
+#define POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
+
+#include "pomeloswitch/http/traffic_context.hpp"
+#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/settings/entry_settings.hpp"
+#include "pomeloswitch/state/cluster_state.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pomelo::wire {
+class heartbeat_ack;
+class log_batch;
+class target_report;
+} // namespace pomelo::wire
+
+namespace pomelo {
+
+//! Follows the replicated log, sends heartbeats and holds the entry host's
+//! lease. Runs on the control thread.
+class control_session {
+public:
+  struct callbacks {
+    //! The state has moved on.
+    std::function<void(const cluster_state &)> OnState;
+    //! The lowest quiesced index of all traffic threads.
+    std::function<std::uint64_t()> QuiescedIndex;
+    //! A heartbeat's reports have been recorded by the leader.
+    std::function<void(const wire::heartbeat_ack &)> OnAck;
+  };
+
+  control_session(boost::asio::io_context &Io, const entry_settings &Settings,
+                  std::uint64_t Incarnation, authority &Authority,
+                  callbacks Callbacks);
+  ~control_session();
+
+  void start();
+  void stop();
+
+  //! Puts a target's report on the next heartbeat, which is sent soon, and
+  //! returns that heartbeat's sequence number.
+  std::uint64_t report(const wire::target_report &Report);
+  //! Sends a heartbeat soon rather than at the next interval.
+  void hurry();
+  void announceStopping() { Stopping = true; }
+
+  [[nodiscard]] const cluster_state &state() const { return State; }
+
+private:
+  struct control_host;
+  struct sent_heartbeat;
+
+  peer_link::handlers handlersOf(control_host &Host);
+  void onMessage(control_host &Host, const wire::envelope &Message);
+  void onLogBatch(control_host &Host, const wire::log_batch &Batch);
+  void onAck(control_host &Host, const wire::heartbeat_ack &Ack);
+  void applySnapshot(const wire::log_batch &Batch);
+  void subscribe(control_host &Host);
+  void beat();
+  void scheduleBeat(std::chrono::milliseconds Delay);
+  void grantAuthority();
+
+  boost::asio::io_context &Io;
+  const entry_settings &Settings;
+  std::uint64_t Incarnation;
+  authority &Authority;
+  callbacks Callbacks;
+  part_log Log{"entry.control"};
+  cluster_state State;
+  std::vector<std::unique_ptr<control_host>> Hosts;
+  control_host *Source = nullptr; //!< Whose log this host follows.
+  control_host *Leader = nullptr; //!< Who acknowledged last.
+  boost::asio::steady_timer BeatTimer;
+  steady_time BeatDue{};
+  std::uint64_t NextSequence = 1;
+  std::map<std::uint64_t, steady_time> SentAt;
+  steady_time LastAck{};
+  // The lease that counts once the state has reached its commit index.
+  std::uint64_t LeaseIndex = 0;
+  steady_time LeaseUntil{};
+  std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
+  bool Stopping = false;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -0,0 +1,174 @@
+#include "pomeloswitch/entry/entry_host.hpp"
+
+#include "pomeloswitch/routing/routing_view.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::steady_clock;
+
+constexpr auto StopAnnouncedFor = std::chrono::milliseconds(500);
+
+std::uint64_t currentIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count());
+}
+
+} // namespace
+
+entry_host::builder &entry_host::builder::withIo(asio::io_context &Value) {
+  Io = &Value;
+  return *this;
+}
+
+entry_host::builder &entry_host::builder::withSettings(entry_settings Value) {
+  Settings = std::move(Value);
+  return *this;
+}
+
+std::unique_ptr<entry_host> entry_host::builder::build() {
+  if (!Io)
+    throw pomelo_error(error_kind::BadSettings,
+                       "an entry host needs an I/O context");
+  return std::unique_ptr<entry_host>(new entry_host(*Io, std::move(Settings)));
+}
+
+entry_host::entry_host(asio::io_context &Io, entry_settings GivenSettings)
+    : Io(Io), Settings(std::move(GivenSettings)), StopTimer(Io) {
+  control_session::callbacks Callbacks;
+  Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
+  Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
+  Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
+    Announcements->onAck(Ack);
+  };
+  Session = std::make_unique<control_session>(
+      Io, Settings, currentIncarnation(), Authority, std::move(Callbacks));
+  Announcements = std::make_unique<announce_api>(Io, *Session);
+  auto CallerAddress = parseEndpoint(Settings.CallerAddress);
+  for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
+    Threads.push_back(std::make_unique<traffic_thread>(
+        Authority, Settings.ClusterSecret, CallerAddress,
+        Settings.MaxCallerConnections / Settings.TrafficThreads));
+    CallerAddress = Threads.front()->address();
+  }
+  AnnounceServer = std::make_unique<simple_server>(
+      Io, parseEndpoint(Settings.AnnounceAddress),
+      [this](const text_request &Request) {
+        return Announcements->handle(Request);
+      });
+  OpsServer = std::make_unique<simple_server>(
+      Io, parseEndpoint(Settings.OpsAddress),
+      [this](const text_request &Request) { return handleOps(Request); });
+}
+
+entry_host::~entry_host() = default;
+
+void entry_host::start() {
+  for (const auto &Thread : Threads)
+    Thread->start();
+  Session->start();
+  Log.info("Entry host {} serves callers on {}.", Settings.HostId,
+           toString(Threads.front()->address()));
+}
+
+void entry_host::onState(const cluster_state &State) {
+  const auto View = makeRoutingView(State);
+  for (const auto &Thread : Threads)
+    Thread->adopt(View);
+}
+
+std::uint64_t entry_host::quiescedIndex() const {
+  std::uint64_t Lowest = Session->state().index();
+  for (const auto &Thread : Threads)
+    Lowest = std::min(Lowest, Thread->quiescedIndex());
+  return Lowest;
+}
+
+asio::awaitable<text_response>
+entry_host::handleOps(const text_request &Request) {
+  if (Request.target() == "/healthz")
+    co_return makeJsonResponse(R"({"alive":true})", Request.version());
+  if (Request.target() == "/readyz") {
+    if (Stopping)
+      throw pomelo_error(error_kind::Draining, "this entry host is stopping");
+    if (!Authority.valid(steady_clock::now()))
+      throw pomelo_error(error_kind::NotAuthoritative,
+                         "no lease from the control group");
+    co_return makeJsonResponse(R"({"ready":true})", Request.version());
+  }
+  if (Request.target() == "/metrics") {
+    text_response Response = makeJsonResponse("", Request.version());
+    Response.set(http::field::content_type, "text/plain; version=0.0.4");
+    Response.body() = metrics();
+    Response.prepare_payload();
+    co_return Response;
+  }
+  throw pomelo_error(error_kind::NotFound, "no such endpoint");
+}
+
+std::string entry_host::metrics() const {
+  std::uint64_t Requests = 0;
+  std::uint64_t Refused = 0;
+  for (const auto &Thread : Threads) {
+    Requests += Thread->counters().Requests;
+    Refused += Thread->counters().Refused;
+  }
+  return fmt::format("pomelo_requests_total {}\npomelo_refused_total {}\n"
+                     "pomelo_state_index {}\n",
+                     Requests, Refused, Session->state().index());
+}
+
+void entry_host::beginStop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  Session->announceStopping();
+  Log.info("Stopping; open requests are served to their end.");
+  // The balancer reads the readiness endpoint before new callers stop coming.
+  StopTimer.expires_after(StopAnnouncedFor);
+  StopTimer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    BusyThreads = Threads.size();
+    for (const auto &Thread : Threads)
+      Thread->beginStop([this] { asio::post(Io, [this] { onThreadIdle(); }); });
+    StopTimer.expires_after(std::chrono::milliseconds(Settings.StopGraceMs));
+    StopTimer.async_wait([this](boost::system::error_code Late) {
+      if (!Late)
+        finishStop();
+    });
+  });
+}
+
+void entry_host::onThreadIdle() {
+  if (--BusyThreads == 0)
+    finishStop();
+}
+
+void entry_host::finishStop() {
+  Log.info("Stopped.");
+  Session->stop();
+  Io.stop();
+}
+
+std::string entry_host::describe() const {
+  const boost::json::object Description{
+      {"role", "entry"},
+      {"host_id", Settings.HostId},
+      {"failure_domain", Settings.FailureDomain},
+      {"caller_address", toString(Threads.front()->address())},
+      {"announce_address", toString(AnnounceServer->address())},
+      {"ops_address", toString(OpsServer->address())}};
+  return boost::json::serialize(Description);
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -0,0 +1,74 @@
+//! The entry process: takes callers' requests and forwards them to targets.
+#ifndef POMELOSWITCH_ENTRY_ENTRY_HOST_HPP
+#define POMELOSWITCH_ENTRY_ENTRY_HOST_HPP
+
+#include "pomeloswitch/entry/announce_api.hpp"
+#include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/entry/traffic_thread.hpp"
+#include "pomeloswitch/http/simple_server.hpp"
+#include "pomeloswitch/settings/entry_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pomelo {
+
+class entry_host {
+public:
+  class builder;
+  ~entry_host();
+
+  void start();
+
+  //! Stops without cutting a request: says so on the readiness endpoint,
+  //! serves what is open and then lets run() of the control context return.
+  void beginStop();
+
+  //! The bound addresses as a JSON object, for tools that start processes.
+  [[nodiscard]] std::string describe() const;
+
+private:
+  entry_host(boost::asio::io_context &Io, entry_settings Settings);
+
+  void onState(const cluster_state &State);
+  [[nodiscard]] std::uint64_t quiescedIndex() const;
+  boost::asio::awaitable<text_response> handleOps(const text_request &Request);
+  [[nodiscard]] std::string metrics() const;
+  void onThreadIdle();
+  void finishStop();
+
+  boost::asio::io_context &Io;
+  entry_settings Settings;
+  part_log Log{"entry"};
+  authority Authority;
+  std::unique_ptr<control_session> Session;
+  std::unique_ptr<announce_api> Announcements;
+  std::vector<std::unique_ptr<traffic_thread>> Threads;
+  std::unique_ptr<simple_server> AnnounceServer;
+  std::unique_ptr<simple_server> OpsServer;
+  boost::asio::steady_timer StopTimer;
+  std::size_t BusyThreads = 0;
+  bool Stopping = false;
+};
+
+//! Builds an entry host; the addresses are bound by build().
+class entry_host::builder {
+public:
+  builder &withIo(boost::asio::io_context &Value);
+  builder &withSettings(entry_settings Value);
+  //! \throws pomelo_error BadSettings without an I/O context,
+  //!         boost::system::system_error if an address cannot be bound.
+  std::unique_ptr<entry_host> build();
+
+private:
+  boost::asio::io_context *Io = nullptr;
+  entry_settings Settings;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -0,0 +1,75 @@
+#include "pomeloswitch/entry/traffic_thread.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+
+namespace pomelo {
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
+traffic_thread::traffic_thread(const authority &Authority,
+                               const std::string &ClusterSecret,
+                               const boost::asio::ip::tcp::endpoint &Address,
+                               std::size_t MaxConnections)
+    : Work(boost::asio::make_work_guard(Io)),
+      Context(Io, Authority, ClusterSecret),
+      Server(Context, Address, MaxConnections), Ticker(Io), IdleTimer(Io) {}
+
+traffic_thread::~traffic_thread() {
+  Io.stop();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void traffic_thread::start() {
+  tick();
+  Thread = std::thread([this] { Io.run(); });
+}
+
+void traffic_thread::adopt(std::shared_ptr<const routing_view> View) {
+  boost::asio::post(Io, [this, View = std::move(View)] {
+    Context.View = View;
+    Context.Pool.retain(*View);
+    updateQuiesced();
+  });
+}
+
+void traffic_thread::beginStop(std::function<void()> OnIdle) {
+  boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
+    Context.Stopping = true;
+    Server.beginStop();
+    awaitIdle(OnIdle);
+  });
+}
+
+void traffic_thread::awaitIdle(std::function<void()> OnIdle) {
+  if (Server.idle())
+    return OnIdle();
+  IdleTimer.expires_after(TickInterval);
+  IdleTimer.async_wait(
+      [this, OnIdle = std::move(OnIdle)](boost::system::error_code Error) {
+        if (!Error)
+          awaitIdle(OnIdle);
+      });
+}
+
+void traffic_thread::updateQuiesced() {
+  Quiesced.store(Context.Flights.quiescedIndex(*Context.View),
+                 std::memory_order_release);
+}
+
+void traffic_thread::tick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    updateQuiesced();
+    tick();
+  });
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -0,0 +1,65 @@
+//! One thread that serves callers.
+#ifndef POMELOSWITCH_ENTRY_TRAFFIC_THREAD_HPP
+#define POMELOSWITCH_ENTRY_TRAFFIC_THREAD_HPP
+
+#include "pomeloswitch/http/caller_server.hpp"
+#include "pomeloswitch/http/traffic_context.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace pomelo {
+
+class traffic_thread {
+public:
+  traffic_thread(const authority &Authority, const std::string &ClusterSecret,
+                 const boost::asio::ip::tcp::endpoint &Address,
+                 std::size_t MaxConnections);
+  ~traffic_thread();
+
+  void start();
+
+  //! Any thread: routes by \p View from now on.
+  void adopt(std::shared_ptr<const routing_view> View);
+
+  //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
+  //! once the last open request has been answered.
+  void beginStop(std::function<void()> OnIdle);
+
+  //! Any thread: see flight_table::quiescedIndex().
+  [[nodiscard]] std::uint64_t quiescedIndex() const {
+    return Quiesced.load(std::memory_order_acquire);
+  }
+
+  [[nodiscard]] boost::asio::ip::tcp::endpoint address() const {
+    return Server.address();
+  }
+  [[nodiscard]] const traffic_counters &counters() const {
+    return Context.Counters;
+  }
+
+private:
+  void updateQuiesced();
+  void tick();
+  void awaitIdle(std::function<void()> OnIdle);
+
+  boost::asio::io_context Io{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  traffic_context Context;
+  caller_server Server;
+  boost::asio::steady_timer Ticker;
+  boost::asio::steady_timer IdleTimer;
+  std::atomic<std::uint64_t> Quiesced{0};
+  std::thread Thread;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -0,0 +1,46 @@
+//! Accepts callers' connections on one traffic thread.
+#ifndef POMELOSWITCH_HTTP_CALLER_SERVER_HPP
+#define POMELOSWITCH_HTTP_CALLER_SERVER_HPP
+
+#include "pomeloswitch/http/traffic_context.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <set>
+
+namespace pomelo {
+
+class caller_server {
+public:
+  //! Listens with SO_REUSEPORT, so that each traffic thread has its own
+  //! listener. \throws boost::system::system_error.
+  caller_server(traffic_context &Context,
+                const boost::asio::ip::tcp::endpoint &Address,
+                std::size_t MaxConnections);
+
+  [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
+
+  //! Stops accepting and closes idle connections; open requests go on.
+  void beginStop();
+
+  [[nodiscard]] bool idle() const { return Connections.empty(); }
+
+private:
+  struct connection;
+
+  boost::asio::awaitable<void> acceptLoop();
+  boost::asio::awaitable<void> serve(std::shared_ptr<connection> Connection);
+  boost::asio::awaitable<void> serveRequests(connection &Connection);
+
+  traffic_context &Context;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::size_t MaxConnections;
+  std::set<std::shared_ptr<connection>> Connections;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/http/forwarded_headers.hpp
@@ -0,0 +1,50 @@
+//! Which header fields pass between callers and targets.
+#ifndef POMELOSWITCH_HTTP_FORWARDED_HEADERS_HPP
+#define POMELOSWITCH_HTTP_FORWARDED_HEADERS_HPP
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace pomelo {
+
+//! Fields of the target protocol; a caller's own are dropped.
+inline constexpr std::string_view FenceField = "Pomelo-Fence";
+inline constexpr std::string_view SlotField = "Pomelo-Slot";
+inline constexpr std::string_view DeadlineField = "Pomelo-Deadline";
+inline constexpr std::string_view AccountField = "Pomelo-Account";
+inline constexpr std::string_view NotRunField = "Pomelo-Not-Run";
+
+//! What the target is told besides the caller's own header.
+struct dispatch_facts {
+  std::string Account; //!< Empty on routes open to all.
+  std::optional<std::uint32_t> Slot;
+  std::uint64_t Token = 0; //!< Set together with Slot.
+  std::int64_t DeadlineUnixMs = 0;
+  std::string TraceParent;
+};
+
+using header_fields = boost::beast::http::fields;
+using request_header = boost::beast::http::request_header<>;
+using response_header = boost::beast::http::response_header<>;
+
+//! The header for the target: without hop-by-hop fields, the caller's
+//! credential and anything that only pomeloswitch may say.
+request_header headerForTarget(const request_header &FromCaller,
+                               const dispatch_facts &Facts);
+
+//! The header for the caller: without hop-by-hop fields and the fields of the
+//! target protocol.
+response_header headerForCaller(const response_header &FromTarget);
+
+//! A W3C traceparent that continues \p Incoming, or starts a trace if that is
+//! not valid. \p SpanId is 16 hexadecimal digits.
+std::string continueTrace(std::string_view Incoming, std::string_view TraceId,
+                          std::string_view SpanId);
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -0,0 +1,91 @@
+#include "pomeloswitch/http/simple_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <exception>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
+constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
+constexpr auto IdleTimeout = std::chrono::seconds(60);
+constexpr auto WriteTimeout = std::chrono::seconds(10);
+
+asio::awaitable<text_response> answer(const text_handler &Handler,
+                                      const text_request &Request) {
+  try {
+    co_return co_await Handler(Request);
+  } catch (const pomelo_error &Failure) {
+    co_return makeErrorResponse(Failure.kind(), Failure.what(),
+                                Request.version());
+  } catch (const std::exception &Failure) {
+    co_return makeErrorResponse(error_kind::Internal, Failure.what(),
+                                Request.version());
+  }
+}
+
+asio::awaitable<void> serve(tcp::socket Socket,
+                            std::shared_ptr<const text_handler> Handler) {
+  beast::tcp_stream Stream(std::move(Socket));
+  beast::flat_buffer Buffer;
+  for (bool KeepAlive = true; KeepAlive;) {
+    http::request_parser<http::string_body> Parser;
+    Parser.header_limit(MaxHeaderBytes);
+    Parser.body_limit(MaxBodyBytes);
+    Stream.expires_after(IdleTimeout);
+    co_await http::async_read(Stream, Buffer, Parser, asio::use_awaitable);
+    const text_request Request = Parser.release();
+    text_response Response = co_await answer(*Handler, Request);
+    KeepAlive = Request.keep_alive();
+    Response.keep_alive(KeepAlive);
+    Stream.expires_after(WriteTimeout);
+    co_await http::async_write(Stream, Response, asio::use_awaitable);
+  }
+}
+
+} // namespace
+
+simple_server::simple_server(asio::io_context &Io, const tcp::endpoint &Address,
+                             text_handler Handler)
+    : Acceptor(Io, Address) {
+  asio::co_spawn(Io,
+                 acceptLoop(Acceptor, std::make_shared<const text_handler>(
+                                          std::move(Handler))),
+                 asio::detached);
+}
+
+tcp::endpoint simple_server::address() const {
+  return Acceptor.local_endpoint();
+}
+
+void simple_server::stop() {
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+}
+
+asio::awaitable<void>
+simple_server::acceptLoop(tcp::acceptor &Acceptor,
+                          std::shared_ptr<const text_handler> Handler) {
+  while (Acceptor.is_open()) {
+    tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+    // A connection that ends early concerns nobody but its own peer.
+    asio::co_spawn(Socket.get_executor(), serve(std::move(Socket), Handler),
+                   asio::detached);
+  }
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -0,0 +1,64 @@
+//! What the requests of one traffic thread share.
+#ifndef POMELOSWITCH_HTTP_TRAFFIC_CONTEXT_HPP
+#define POMELOSWITCH_HTTP_TRAFFIC_CONTEXT_HPP
+
+#include "pomeloswitch/http/flight_table.hpp"
+#include "pomeloswitch/http/upstream_pool.hpp"
+#include "pomeloswitch/routing/target_choice.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace pomelo {
+
+//! The entry host's right to route, as granted by the control group. Written
+//! by the control thread, read by traffic threads right before they send.
+class authority {
+public:
+  void extendTo(steady_time Until) {
+    ValidUntil.store(Until.time_since_epoch().count(),
+                     std::memory_order_release);
+  }
+  [[nodiscard]] steady_time validUntil() const {
+    return steady_time(
+        steady_time::duration(ValidUntil.load(std::memory_order_acquire)));
+  }
+  [[nodiscard]] bool valid(steady_time Now) const { return Now < validUntil(); }
+
+private:
+  std::atomic<steady_time::rep> ValidUntil{0};
+};
+
+struct traffic_counters {
+  std::atomic<std::uint64_t> Requests{0};
+  std::atomic<std::uint64_t> Refused{0};
+  std::atomic<std::uint64_t> OutcomeUnknown{0};
+};
+
+//! Belongs to one traffic thread; nothing here is locked.
+struct traffic_context {
+  traffic_context(boost::asio::io_context &Io, const authority &Authority,
+                  std::string ClusterSecret)
+      : Io(Io), Authority(Authority), ClusterSecret(std::move(ClusterSecret)),
+        Pool(Io.get_executor()), Random(std::random_device()()) {}
+
+  boost::asio::io_context &Io;
+  const authority &Authority;
+  std::string ClusterSecret;
+  std::shared_ptr<const routing_view> View = std::make_shared<routing_view>();
+  upstream_pool Pool;
+  flight_table Flights;
+  random_engine Random;
+  traffic_counters Counters;
+  bool Stopping = false;
+  std::size_t OpenRequests = 0;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -0,0 +1,104 @@
+#include "pomeloswitch/membership/member_planner.hpp"
+
+#include "pomeloswitch/wire/generated/inner.pb.h"
+
+namespace pomelo {
+namespace {
+
+wire::command joinTarget(const target_member &Announced) {
+  wire::command Command;
+  auto *Joined = Command.mutable_target_joined();
+  Joined->set_target_id(Announced.TargetId);
+  Joined->set_incarnation(Announced.Incarnation);
+  Joined->set_service(Announced.Service);
+  Joined->set_failure_domain(Announced.FailureDomain);
+  Joined->set_address(Announced.Address);
+  Joined->set_slots(Announced.Slots);
+  Joined->set_connections(Announced.Connections);
+  Joined->set_checks_fence(Announced.ChecksFence);
+  return Command;
+}
+
+wire::command joinHost(const entry_member &Announced) {
+  wire::command Command;
+  auto *Joined = Command.mutable_host_joined();
+  Joined->set_host_id(Announced.HostId);
+  Joined->set_incarnation(Announced.Incarnation);
+  Joined->set_failure_domain(Announced.FailureDomain);
+  return Command;
+}
+
+wire::command loseHost(const entry_member &Member) {
+  wire::command Command;
+  auto *Left = Command.mutable_host_left();
+  Left->set_host_id(Member.HostId);
+  Left->set_incarnation(Member.Incarnation);
+  return Command;
+}
+
+wire::command loseTarget(const target_member &Member) {
+  wire::command Command;
+  auto *Left = Command.mutable_target_left();
+  Left->set_target_id(Member.TargetId);
+  Left->set_incarnation(Member.Incarnation);
+  return Command;
+}
+
+wire::command markLeaving(const target_member &Member) {
+  wire::command Command;
+  auto *Leaving = Command.mutable_target_leaving();
+  Leaving->set_target_id(Member.TargetId);
+  Leaving->set_incarnation(Member.Incarnation);
+  return Command;
+}
+
+void planHosts(const cluster_state &State, const lease_table &Leases,
+               mono_time Now, std::vector<wire::command> &Commands) {
+  for (const auto &[Id, Status] : Leases.hosts()) {
+    const auto Member = State.entryHosts().find(Id);
+    const bool Known =
+        Member != State.entryHosts().end() &&
+        Member->second.Incarnation == Status.Announced.Incarnation;
+    if (!Known && !Leases.hostExpired(Id, Now))
+      Commands.push_back(joinHost(Status.Announced));
+  }
+  const lease_times &Times = Leases.times();
+  for (const auto &[Id, Member] : State.entryHosts()) {
+    const host_status *Status = Leases.findHost(Id);
+    if (!Status || Now - Status->HeardAt > Times.surely(Times.HostForgotten))
+      Commands.push_back(loseHost(Member));
+  }
+}
+
+void planAnnouncedTarget(const cluster_state &State,
+                         const target_status &Status,
+                         std::vector<wire::command> &Commands) {
+  const target_member &Announced = Status.Announced;
+  const auto Member = State.targets().find(Announced.TargetId);
+  if (Member == State.targets().end() ||
+      Member->second.Incarnation != Announced.Incarnation) {
+    if (!Announced.Leaving)
+      Commands.push_back(joinTarget(Announced));
+    return;
+  }
+  if (Announced.Leaving && !Member->second.Leaving)
+    Commands.push_back(markLeaving(Announced));
+}
+
+} // namespace
+
+std::vector<wire::command> planMembership(const cluster_state &State,
+                                          const lease_table &Leases,
+                                          mono_time Now) {
+  std::vector<wire::command> Commands;
+  planHosts(State, Leases, Now, Commands);
+  for (const auto &[Id, Status] : Leases.targets())
+    if (!Leases.targetExpired(Id, Now))
+      planAnnouncedTarget(State, Status, Commands);
+  for (const auto &[Id, Member] : State.targets())
+    if (Leases.targetExpired(Id, Now))
+      Commands.push_back(loseTarget(Member));
+  return Commands;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -0,0 +1,209 @@
+#include "pomeloswitch/ownership/slot_planner.hpp"
+
+#include "pomeloswitch/wire/generated/inner.pb.h"
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+//! One target that may own slots, and how many it holds.
+struct candidate {
+  const target_member *Target;
+  std::uint32_t Held = 0;
+};
+
+//! The plan of one service in one round.
+class service_plan {
+public:
+  service_plan(const cluster_state &State, const lease_table &Leases,
+               const planner_limits &Limits, const service &Service,
+               mono_time Now)
+      : State(State), Leases(Leases), Limits(Limits), Service(Service),
+        Now(Now), Table(State.slotsPart(Service.Name)) {}
+
+  void run(std::vector<wire::command> &Commands) {
+    if (!Table)
+      return;
+    collectCandidates();
+    countHeld();
+    planSlots();
+    planBalance();
+    emit(Commands);
+  }
+
+private:
+  void collectCandidates() {
+    for (const auto &[Id, Target] : State.targets())
+      if (Target.Service == Service.Name && !Target.Leaving &&
+          !State.takenOut(Target) && !Leases.targetExpired(Id, Now))
+        Candidates.push_back({&Target});
+  }
+
+  candidate *findCandidate(std::string_view Id) {
+    const auto Found = std::find_if(
+        Candidates.begin(), Candidates.end(),
+        [Id](const candidate &Each) { return Each.Target->TargetId == Id; });
+    return Found == Candidates.end() ? nullptr : &*Found;
+  }
+
+  void countHeld() {
+    for (const owned_slot &Slot : *Table) {
+      if (Slot.Phase == slot_phase::Revoking)
+        ++Moving;
+      else if (Slot.Phase != slot_phase::Unowned)
+        if (candidate *Owner = findCandidate(Slot.Owner))
+          ++Owner->Held;
+    }
+  }
+
+  //! The candidate with the fewest slots for its size.
+  candidate *leastLoaded() {
+    const auto Least = std::min_element(
+        Candidates.begin(), Candidates.end(),
+        [](const candidate &Left, const candidate &Right) {
+          return std::uint64_t{Left.Held} * Right.Target->Slots <
+                 std::uint64_t{Right.Held} * Left.Target->Slots;
+        });
+    return Least == Candidates.end() ? nullptr : &*Least;
+  }
+
+  //! Whether the last owner of a revoked slot starts no more work on it.
+  bool ownerLetGo(const owned_slot &Slot) const {
+    const auto Owner = State.targets().find(Slot.Owner);
+    if (Owner == State.targets().end() || !Owner->second.ChecksFence)
+      return true;
+    if (Leases.targetExpired(Slot.Owner, Now))
+      return true;
+    const target_status *Status = Leases.findTarget(Slot.Owner);
+    return Status && Status->SettledIndex >= Slot.ChangedIndex;
+  }
+
+  bool handoverSafe(const owned_slot &Slot) const {
+    return ownerLetGo(Slot) &&
+           Leases.quiesced(State, Slot.ChangedIndex, longestDeadline(), Now);
+  }
+
+  //! The longest that a request of this service may be in flight.
+  milliseconds longestDeadline() const {
+    std::uint32_t Longest = 0;
+    for (const route &Route : State.rulesPart()->Routes)
+      if (Route.Service == Service.Name)
+        Longest = std::max(Longest, Route.DeadlineMs);
+    return milliseconds(Longest);
+  }
+
+  void grant(std::uint32_t Number) {
+    candidate *Owner = leastLoaded();
+    if (!Owner)
+      return;
+    ++Owner->Held;
+    auto *Grant = Grants.add_grants();
+    Grant->set_slot(Number);
+    Grant->set_target_id(Owner->Target->TargetId);
+  }
+
+  void planSlots() {
+    for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
+      const owned_slot &Slot = (*Table)[Number];
+      if (Slot.Phase == slot_phase::Unowned ||
+          (Slot.Phase == slot_phase::Revoking && handoverSafe(Slot)))
+        grant(Number);
+      else if (Slot.Phase != slot_phase::Revoking && !findCandidate(Slot.Owner))
+        planEvacuation(Number, Slot);
+    }
+  }
+
+  //! A slot leaves an owner that is going only while another can take it.
+  void planEvacuation(std::uint32_t Number, const owned_slot &Slot) {
+    if (Candidates.empty() && State.targets().contains(Slot.Owner) &&
+        !State.takenOut(State.targets().at(Slot.Owner)))
+      return;
+    Revokes.add_slots(Number);
+  }
+
+  void planBalance() {
+    if (Candidates.size() < 2 || Grants.grants_size() > 0 ||
+        Revokes.slots_size() > 0)
+      return;
+    std::uint64_t Size = 0;
+    for (const candidate &Each : Candidates)
+      Size += Each.Target->Slots;
+    std::uint32_t Free =
+        Limits.MovesInFlight > Moving ? Limits.MovesInFlight - Moving : 0;
+    for (std::uint32_t Number = 0; Number < Table->size() && Free > 0;
+         ++Number) {
+      const owned_slot &Slot = (*Table)[Number];
+      candidate *Owner = Slot.Phase == slot_phase::Active
+                             ? findCandidate(Slot.Owner)
+                             : nullptr;
+      if (!Owner)
+        continue;
+      const std::uint64_t Share =
+          (Table->size() * Owner->Target->Slots + Size - 1) / Size;
+      if (Owner->Held <= Share + Limits.Tolerance - 1)
+        continue;
+      --Owner->Held;
+      --Free;
+      Revokes.add_slots(Number);
+    }
+  }
+
+  void emit(std::vector<wire::command> &Commands) {
+    if (Revokes.slots_size() > 0) {
+      Revokes.set_service(Service.Name);
+      *Commands.emplace_back().mutable_revoke_slots() = std::move(Revokes);
+    }
+    if (Grants.grants_size() > 0) {
+      Grants.set_service(Service.Name);
+      *Commands.emplace_back().mutable_grant_slots() = std::move(Grants);
+    }
+    emitActivations(Commands);
+  }
+
+  void emitActivations(std::vector<wire::command> &Commands) {
+    for (const candidate &Each : Candidates) {
+      const auto &Id = Each.Target->TargetId;
+      const target_status *Status = Leases.findTarget(Id);
+      if (!Status || !hasGrantToActivate(Id, Status->TakenIndex))
+        continue;
+      auto *Activate = Commands.emplace_back().mutable_activate_slots();
+      Activate->set_service(Service.Name);
+      Activate->set_target_id(Id);
+      Activate->set_taken_index(Status->TakenIndex);
+    }
+  }
+
+  bool hasGrantToActivate(std::string_view Id, std::uint64_t TakenIndex) const {
+    return std::any_of(
+        Table->begin(), Table->end(), [&](const owned_slot &Slot) {
+          return Slot.Phase == slot_phase::Granted && Slot.Owner == Id &&
+                 Slot.ChangedIndex <= TakenIndex;
+        });
+  }
+
+  const cluster_state &State;
+  const lease_table &Leases;
+  const planner_limits &Limits;
+  const service &Service;
+  mono_time Now;
+  std::shared_ptr<const slot_table> Table;
+  std::vector<candidate> Candidates;
+  std::uint32_t Moving = 0;
+  wire::grant_slots Grants;
+  wire::revoke_slots Revokes;
+};
+
+} // namespace
+
+std::vector<wire::command> slot_planner::plan(const cluster_state &State,
+                                              const lease_table &Leases,
+                                              mono_time Now) const {
+  std::vector<wire::command> Commands;
+  for (const service &Service : State.inventoryPart()->Services)
+    if (Service.DividedByKey)
+      service_plan(State, Leases, Limits, Service, Now).run(Commands);
+  return Commands;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/raft/local_log.cpp
@@ -0,0 +1,29 @@
+#include "pomeloswitch/raft/local_log.hpp"
+
+namespace pomelo {
+
+void local_log::start(applier NewApplier) {
+  Applier = std::move(NewApplier);
+  Applier.OnLeadership(true);
+}
+
+void local_log::propose(std::string Command, completion Done) {
+  Entries.push_back(std::move(Command));
+  Applier.OnCommitted({Entries.size(), Entries.back()});
+  Done({std::nullopt, Entries.size()});
+}
+
+std::optional<std::vector<committed_entry>>
+local_log::entriesFrom(std::uint64_t First, std::size_t MaxBytes) const {
+  std::vector<committed_entry> Found;
+  std::size_t Bytes = 0;
+  for (std::uint64_t Index = First; Index <= Entries.size(); ++Index) {
+    Found.push_back({Index, Entries[Index - 1]});
+    Bytes += Found.back().Command.size();
+    if (Bytes >= MaxBytes)
+      break;
+  }
+  return Found;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/raft/local_log.hpp
@@ -0,0 +1,36 @@
+//! A replicated log with one member and no disk, for single-process use.
+#ifndef POMELOSWITCH_RAFT_LOCAL_LOG_HPP
+#define POMELOSWITCH_RAFT_LOCAL_LOG_HPP
+
+#include "pomeloswitch/raft/replicated_log.hpp"
+
+#include <string>
+#include <vector>
+
+namespace pomelo {
+
+class local_log final : public replicated_log {
+public:
+  explicit local_log(std::string HostId) : HostId(std::move(HostId)) {}
+
+  void start(applier Applier) override;
+  void stop() override {}
+  void propose(std::string Command, completion Done) override;
+  [[nodiscard]] bool leading() const override { return true; }
+  [[nodiscard]] bool leadershipConfirmed() const override { return true; }
+  [[nodiscard]] std::string leaderId() const override { return HostId; }
+  [[nodiscard]] std::uint64_t commitIndex() const override {
+    return Entries.size();
+  }
+  [[nodiscard]] std::optional<std::vector<committed_entry>>
+  entriesFrom(std::uint64_t First, std::size_t MaxBytes) const override;
+
+private:
+  std::string HostId;
+  applier Applier;
+  std::vector<std::string> Entries;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -0,0 +1,50 @@
+#include "pomeloswitch/routing/routing_view.hpp"
+
+#include "pomeloswitch/wire/peer_link.hpp"
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+routing_target_ptr makeTarget(const cluster_state &State,
+                              const target_member &Member) {
+  auto Target = std::make_shared<routing_target>();
+  Target->Member = Member;
+  Target->Address = parseEndpoint(Member.Address);
+  Target->AcceptsNewWork = !Member.Leaving && !State.takenOut(Member);
+  const auto Hosts = std::max<std::size_t>(1, State.entryHosts().size());
+  Target->ConnectionShare = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(Member.Connections / Hosts));
+  return Target;
+}
+
+} // namespace
+
+const routing_service *routing_view::findService(std::string_view Name) const {
+  const auto Found = Services.find(Name);
+  return Found == Services.end() ? nullptr : &Found->second;
+}
+
+std::shared_ptr<const routing_view>
+makeRoutingView(const cluster_state &State) {
+  auto View = std::make_shared<routing_view>();
+  View->Index = State.index();
+  View->ConfigVersion = State.configVersion();
+  View->Inventory = State.inventoryPart();
+  View->Rules = State.rulesPart();
+  View->Keys = State.keysPart();
+  for (const service &Service : View->Inventory->Services)
+    View->Services[Service.Name] = {
+        Service.Name, State.slotsPart(Service.Name), {}};
+  for (const auto &[Id, Member] : State.targets()) {
+    auto Target = makeTarget(State, Member);
+    const auto Service = View->Services.find(Member.Service);
+    if (Service != View->Services.end())
+      Service->second.Targets.push_back(Target);
+    View->Targets.emplace(Id, std::move(Target));
+  }
+  return View;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/routing/routing_view.hpp
@@ -0,0 +1,50 @@
+//! An immutable picture of the replicated state for the traffic threads.
+#ifndef POMELOSWITCH_ROUTING_ROUTING_VIEW_HPP
+#define POMELOSWITCH_ROUTING_ROUTING_VIEW_HPP
+
+#include "pomeloswitch/state/cluster_state.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelo {
+
+struct routing_target {
+  target_member Member;
+  boost::asio::ip::tcp::endpoint Address;
+  bool AcceptsNewWork = true;        //!< Neither leaving nor taken out.
+  std::uint32_t ConnectionShare = 1; //!< This entry host's part.
+};
+
+using routing_target_ptr = std::shared_ptr<const routing_target>;
+
+struct routing_service {
+  std::string Name;
+  std::shared_ptr<const slot_table> Slots; //!< Null if not divided by key.
+  std::vector<routing_target_ptr> Targets;
+};
+
+struct routing_view {
+  std::uint64_t Index = 0; //!< Log index that it pictures.
+  std::uint64_t ConfigVersion = 0;
+  std::shared_ptr<const inventory> Inventory;
+  std::shared_ptr<const rules> Rules;
+  std::shared_ptr<const key_map> Keys;
+  std::map<std::string, routing_service, std::less<>> Services;
+  std::map<std::string, routing_target_ptr, std::less<>> Targets;
+
+  [[nodiscard]] const routing_service *findService(std::string_view Name) const;
+};
+
+//! Pictures \p State.
+std::shared_ptr<const routing_view> makeRoutingView(const cluster_state &State);
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -0,0 +1,45 @@
+#include "pomeloswitch/routing/target_choice.hpp"
+
+#include "pomeloswitch/state/key_slot.hpp"
+
+#include <algorithm>
+
+namespace pomelo {
+
+slot_owner findOwner(const routing_view &View, const routing_service &Service,
+                     std::string_view Key) {
+  slot_owner Owner;
+  Owner.Slot =
+      slotOfKey(Key, static_cast<std::uint32_t>(Service.Slots->size()));
+  const owned_slot &Slot = (*Service.Slots)[Owner.Slot];
+  Owner.Token = Slot.Token;
+  if (Slot.Phase != slot_phase::Active)
+    return Owner;
+  const auto Target = View.Targets.find(Slot.Owner);
+  if (Target != View.Targets.end())
+    Owner.Target = Target->second;
+  return Owner;
+}
+
+routing_target_ptr chooseOfTwo(const routing_service &Service,
+                               std::span<const std::string> Excluded,
+                               const load_estimate &Load,
+                               random_engine &Random) {
+  std::vector<routing_target_ptr> Candidates;
+  for (const auto &Target : Service.Targets)
+    if (Target->AcceptsNewWork &&
+        std::find(Excluded.begin(), Excluded.end(), Target->Member.TargetId) ==
+            Excluded.end())
+      Candidates.push_back(Target);
+  if (Candidates.empty())
+    return nullptr;
+  const auto Draw = [&] {
+    return std::uniform_int_distribution<std::size_t>(0, Candidates.size() -
+                                                             1)(Random);
+  };
+  const auto &First = Candidates[Draw()];
+  const auto &Second = Candidates[Draw()];
+  return Load(*Second) < Load(*First) ? Second : First;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/settings/control_settings.cpp
@@ -0,0 +1,71 @@
+#include "pomeloswitch/settings/control_settings.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace pomelo {
+namespace {
+
+const std::string &schema() {
+  static const std::string Schema = fmt::format(R"json({{
+  "definitions": {{ {} }},
+  "type": "object", "additionalProperties": false,
+  "required": ["host_id", "failure_domain", "peer_address", "admin_address",
+               "data_folder", "members", "cluster_secret_file", "operators"],
+  "properties": {{
+    "host_id": {{"$ref": "#/definitions/name"}},
+    "failure_domain": {{"$ref": "#/definitions/name"}},
+    "peer_address": {{"$ref": "#/definitions/address"}},
+    "admin_address": {{"$ref": "#/definitions/address"}},
+    "data_folder": {{"type": "string", "minLength": 1}},
+    "members": {{"$ref": "#/definitions/hosts"}},
+    "cluster_secret_file": {{"type": "string", "minLength": 1}},
+    "operators": {{
+      "type": "array", "minItems": 1,
+      "items": {{
+        "type": "object", "additionalProperties": false,
+        "required": ["name", "key_sha256"],
+        "properties": {{
+          "name": {{"$ref": "#/definitions/name"}},
+          "key_sha256": {{"type": "string", "pattern": "^[0-9a-f]{{64}}$"}}
+        }}
+      }}
+    }},
+    "log": {{"$ref": "#/definitions/log"}}
+  }}
+}})json",
+                                                CommonDefinitions);
+  return Schema;
+}
+
+std::vector<operator_settings> readOperators(const boost::json::array &Items) {
+  std::vector<operator_settings> Operators;
+  for (const auto &Item : Items) {
+    const auto &Object = Item.as_object();
+    Operators.push_back(
+        {textField(Object, "name"), textField(Object, "key_sha256")});
+  }
+  return Operators;
+}
+
+} // namespace
+
+control_settings parseControlSettings(std::string_view Text) {
+  const document_kind Kind{"control settings", schema(),
+                           error_kind::BadSettings};
+  const boost::json::value Document = parseDocument(Kind, Text);
+  const auto &Object = Document.as_object();
+  control_settings Settings;
+  Settings.HostId = textField(Object, "host_id");
+  Settings.FailureDomain = textField(Object, "failure_domain");
+  Settings.PeerAddress = textField(Object, "peer_address");
+  Settings.AdminAddress = textField(Object, "admin_address");
+  Settings.DataFolder = textField(Object, "data_folder");
+  Settings.Members = readHostAddresses(Kind, Object, "members");
+  Settings.ClusterSecret = readClusterSecret(Kind, Object);
+  Settings.Operators = readOperators(Object.at("operators").as_array());
+  Settings.Log = readLogSettings(Object);
+  return Settings;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/settings/entry_settings.cpp
@@ -0,0 +1,61 @@
+#include "pomeloswitch/settings/entry_settings.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace pomelo {
+namespace {
+
+const std::string &schema() {
+  static const std::string Schema = fmt::format(R"json({{
+  "definitions": {{ {} }},
+  "type": "object", "additionalProperties": false,
+  "required": ["host_id", "failure_domain", "caller_address",
+               "announce_address", "ops_address", "control_hosts",
+               "cluster_secret_file"],
+  "properties": {{
+    "host_id": {{"$ref": "#/definitions/name"}},
+    "failure_domain": {{"$ref": "#/definitions/name"}},
+    "caller_address": {{"$ref": "#/definitions/address"}},
+    "announce_address": {{"$ref": "#/definitions/address"}},
+    "ops_address": {{"$ref": "#/definitions/address"}},
+    "control_hosts": {{"$ref": "#/definitions/hosts"}},
+    "cluster_secret_file": {{"type": "string", "minLength": 1}},
+    "traffic_threads": {{"type": "integer", "minimum": 1, "maximum": 64}},
+    "max_caller_connections":
+      {{"type": "integer", "minimum": 1, "maximum": 1000000}},
+    "stop_grace_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
+    "log": {{"$ref": "#/definitions/log"}},
+    "trace_file": {{"type": "string"}}
+  }}
+}})json",
+                                                CommonDefinitions);
+  return Schema;
+}
+
+} // namespace
+
+entry_settings parseEntrySettings(std::string_view Text) {
+  const document_kind Kind{"entry settings", schema(), error_kind::BadSettings};
+  const boost::json::value Document = parseDocument(Kind, Text);
+  const auto &Object = Document.as_object();
+  entry_settings Settings;
+  Settings.HostId = textField(Object, "host_id");
+  Settings.FailureDomain = textField(Object, "failure_domain");
+  Settings.CallerAddress = textField(Object, "caller_address");
+  Settings.AnnounceAddress = textField(Object, "announce_address");
+  Settings.OpsAddress = textField(Object, "ops_address");
+  Settings.ControlHosts = readHostAddresses(Kind, Object, "control_hosts");
+  Settings.ClusterSecret = readClusterSecret(Kind, Object);
+  Settings.TrafficThreads = static_cast<unsigned>(
+      numberField(Object, "traffic_threads", Settings.TrafficThreads));
+  Settings.MaxCallerConnections = static_cast<unsigned>(numberField(
+      Object, "max_caller_connections", Settings.MaxCallerConnections));
+  Settings.StopGraceMs = static_cast<std::uint32_t>(
+      numberField(Object, "stop_grace_ms", Settings.StopGraceMs));
+  Settings.Log = readLogSettings(Object);
+  Settings.TraceFile = textField(Object, "trace_file");
+  return Settings;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -0,0 +1,363 @@
+#include "pomeloswitch/state/cluster_state.hpp"
+
+#include "pomeloswitch/state/config_changes.hpp"
+#include "pomeloswitch/wire/generated/inner.pb.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+using wire::command;
+
+//! Results of operators' changes that are kept to answer resends.
+constexpr std::size_t MaxOperations = 20000;
+
+target_member toMember(const wire::target_joined &Joined) {
+  target_member Member;
+  Member.TargetId = Joined.target_id();
+  Member.Incarnation = Joined.incarnation();
+  Member.Service = Joined.service();
+  Member.FailureDomain = Joined.failure_domain();
+  Member.Address = Joined.address();
+  Member.Slots = Joined.slots();
+  Member.Connections = Joined.connections();
+  Member.ChecksFence = Joined.checks_fence();
+  return Member;
+}
+
+wire::target_joined toMessage(const target_member &Member) {
+  wire::target_joined Joined;
+  Joined.set_target_id(Member.TargetId);
+  Joined.set_incarnation(Member.Incarnation);
+  Joined.set_service(Member.Service);
+  Joined.set_failure_domain(Member.FailureDomain);
+  Joined.set_address(Member.Address);
+  Joined.set_slots(Member.Slots);
+  Joined.set_connections(Member.Connections);
+  Joined.set_checks_fence(Member.ChecksFence);
+  return Joined;
+}
+
+} // namespace
+
+cluster_state::cluster_state()
+    : Inventory(std::make_shared<inventory>()),
+      Rules(std::make_shared<rules>()), Keys(std::make_shared<key_map>()),
+      Targets(std::make_shared<target_map>()) {}
+
+apply_result cluster_state::apply(std::uint64_t AtIndex,
+                                  const command &Command) {
+  Index = AtIndex;
+  TimeMs = std::max(TimeMs, static_cast<std::uint64_t>(Command.time_ms()));
+  if (config_changes::covers(Command))
+    return applyConfig(Command);
+  applyMembership(Command);
+  applyOwnership(Command);
+  return {std::nullopt, ConfigVersion, {}};
+}
+
+apply_result cluster_state::applyConfig(const command &Command) {
+  if (const apply_result *Earlier = findOperation(Command.operation_id()))
+    return *Earlier;
+  apply_result Result;
+  try {
+    if (Command.has_base_version() && Command.base_version() != ConfigVersion)
+      throw pomelo_error(
+          error_kind::VersionConflict,
+          fmt::format("the change is based on version {}, but version {} is in "
+                      "force",
+                      Command.base_version(), ConfigVersion));
+    config_changes(*this).apply(Command);
+    ++ConfigVersion;
+  } catch (const pomelo_error &Refusal) {
+    Result.Refusal = Refusal.kind();
+    Result.Message = Refusal.what();
+  }
+  Result.Version = ConfigVersion;
+  rememberOperation(Command.operation_id(), Result);
+  return Result;
+}
+
+void cluster_state::applyMembership(const command &Command) {
+  switch (Command.body_case()) {
+  case command::kHostJoined: {
+    const auto &Joined = Command.host_joined();
+    EntryHosts[Joined.host_id()] = {Joined.host_id(), Joined.incarnation(),
+                                    Joined.failure_domain()};
+    return;
+  }
+  case command::kHostLeft: {
+    const auto Found = EntryHosts.find(Command.host_left().host_id());
+    if (Found != EntryHosts.end() &&
+        Found->second.Incarnation == Command.host_left().incarnation())
+      EntryHosts.erase(Found);
+    return;
+  }
+  case command::kTargetJoined: {
+    auto Member = toMember(Command.target_joined());
+    Member.JoinedMs = TimeMs;
+    auto Changed = std::make_shared<target_map>(*Targets);
+    const auto Found = Changed->find(Member.TargetId);
+    if (Found != Changed->end())
+      releaseSlotsOf(Found->second);
+    (*Changed)[Member.TargetId] = std::move(Member);
+    Targets = std::move(Changed);
+    return;
+  }
+  case command::kTargetLeaving: {
+    const auto &Leaving = Command.target_leaving();
+    auto Changed = std::make_shared<target_map>(*Targets);
+    const auto Found = Changed->find(Leaving.target_id());
+    if (Found == Changed->end() ||
+        Found->second.Incarnation != Leaving.incarnation())
+      return;
+    Found->second.Leaving = true;
+    Targets = std::move(Changed);
+    return;
+  }
+  case command::kTargetLeft: {
+    const auto &Left = Command.target_left();
+    auto Changed = std::make_shared<target_map>(*Targets);
+    const auto Found = Changed->find(Left.target_id());
+    if (Found == Changed->end() ||
+        Found->second.Incarnation != Left.incarnation())
+      return;
+    releaseSlotsOf(Found->second);
+    Changed->erase(Found);
+    Targets = std::move(Changed);
+    return;
+  }
+  default:
+    return;
+  }
+}
+
+//! A target that is gone or back as a new incarnation starts no more work as
+//! the old one; its slots are revoked like any other so that what is in flight
+//! ends before the next grant.
+void cluster_state::releaseSlotsOf(const target_member &Target) {
+  const auto Found = Slots.find(Target.Service);
+  if (Found == Slots.end())
+    return;
+  for (owned_slot &Slot : mutableSlots(Target.Service)) {
+    if (Slot.Owner != Target.TargetId || Slot.Phase == slot_phase::Revoking)
+      continue;
+    Slot.Phase = slot_phase::Revoking;
+    Slot.ChangedIndex = Index;
+  }
+}
+
+void cluster_state::applyOwnership(const command &Command) {
+  switch (Command.body_case()) {
+  case command::kRevokeSlots: {
+    auto &Table = mutableSlots(Command.revoke_slots().service());
+    for (const std::uint32_t Number : Command.revoke_slots().slots()) {
+      if (Number >= Table.size())
+        continue;
+      owned_slot &Slot = Table[Number];
+      if (Slot.Phase != slot_phase::Granted && Slot.Phase != slot_phase::Active)
+        continue;
+      Slot.Phase = slot_phase::Revoking;
+      Slot.ChangedIndex = Index;
+    }
+    return;
+  }
+  case command::kGrantSlots: {
+    auto &Table = mutableSlots(Command.grant_slots().service());
+    for (const auto &Grant : Command.grant_slots().grants()) {
+      const auto Target = Targets->find(Grant.target_id());
+      if (Grant.slot() >= Table.size() || Target == Targets->end())
+        continue;
+      owned_slot &Slot = Table[Grant.slot()];
+      if (Slot.Phase != slot_phase::Unowned &&
+          Slot.Phase != slot_phase::Revoking)
+        continue;
+      Slot = {Grant.target_id(), NextToken++,
+              Target->second.ChecksFence ? slot_phase::Granted
+                                         : slot_phase::Active,
+              Index};
+    }
+    return;
+  }
+  case command::kActivateSlots: {
+    const auto &Activate = Command.activate_slots();
+    for (owned_slot &Slot : mutableSlots(Activate.service()))
+      if (Slot.Owner == Activate.target_id() &&
+          Slot.Phase == slot_phase::Granted &&
+          Slot.ChangedIndex <= Activate.taken_index())
+        Slot.Phase = slot_phase::Active;
+    return;
+  }
+  default:
+    return;
+  }
+}
+
+void cluster_state::fitSlotTables() {
+  std::erase_if(Slots, [this](const auto &Entry) {
+    const service *Service = Inventory->findService(Entry.first);
+    return !Service || Service->KeySlots != Entry.second->size();
+  });
+  for (const service &Service : Inventory->Services)
+    if (Service.DividedByKey && !Slots.contains(Service.Name))
+      Slots[Service.Name] = std::make_shared<slot_table>(Service.KeySlots);
+}
+
+slot_table &cluster_state::mutableSlots(const std::string &Service) {
+  auto &Table = Slots[Service];
+  if (!Table)
+    Table = std::make_shared<slot_table>();
+  else if (Table.use_count() > 1)
+    Table = std::make_shared<slot_table>(*Table);
+  return *Table;
+}
+
+std::shared_ptr<const slot_table>
+cluster_state::slotsPart(std::string_view Service) const {
+  const auto Found = Slots.find(Service);
+  return Found == Slots.end() ? nullptr : Found->second;
+}
+
+bool cluster_state::takenOut(const target_member &Target) const {
+  return DomainsOut.contains(Target.FailureDomain) ||
+         TargetsOut.contains(Target.TargetId);
+}
+
+void cluster_state::rememberOperation(const std::string &OperationId,
+                                      const apply_result &Result) {
+  if (OperationId.empty())
+    return;
+  Operations[OperationId] = Result;
+  OperationOrder.push_back(OperationId);
+  if (OperationOrder.size() <= MaxOperations)
+    return;
+  Operations.erase(OperationOrder.front());
+  OperationOrder.pop_front();
+}
+
+const apply_result *
+cluster_state::findOperation(const std::string &OperationId) const {
+  const auto Found = Operations.find(OperationId);
+  return OperationId.empty() || Found == Operations.end() ? nullptr
+                                                          : &Found->second;
+}
+
+wire::state_snapshot cluster_state::toSnapshot() const {
+  wire::state_snapshot Snapshot;
+  Snapshot.set_index(Index);
+  Snapshot.set_config_version(ConfigVersion);
+  Snapshot.set_time_ms(TimeMs);
+  Snapshot.set_next_token(NextToken);
+  Snapshot.set_inventory_json(InventoryJson);
+  Snapshot.set_rules_json(RulesJson);
+  for (const auto &[Id, Key] : *Keys) {
+    auto *Record = Snapshot.add_keys();
+    Record->set_key_id(Id);
+    Record->set_account(Key.Account);
+    Record->set_key_hash(Key.KeyHash);
+    Record->set_withdrawn(Key.Withdrawn);
+  }
+  for (const auto &Name : DomainsOut)
+    Snapshot.add_domains_out(Name);
+  for (const auto &Name : TargetsOut)
+    Snapshot.add_targets_out(Name);
+  for (const auto &[Id, Host] : EntryHosts) {
+    auto *Joined = Snapshot.add_hosts()->mutable_host();
+    Joined->set_host_id(Id);
+    Joined->set_incarnation(Host.Incarnation);
+    Joined->set_failure_domain(Host.FailureDomain);
+  }
+  for (const auto &[Id, Target] : *Targets) {
+    auto *Record = Snapshot.add_targets();
+    *Record->mutable_target() = toMessage(Target);
+    Record->set_leaving(Target.Leaving);
+    Record->set_joined_ms(Target.JoinedMs);
+  }
+  for (const auto &[Service, Table] : Slots) {
+    auto *Record = Snapshot.add_slots();
+    Record->set_service(Service);
+    for (const owned_slot &Slot : *Table) {
+      auto *Out = Record->add_slots();
+      Out->set_owner(Slot.Owner);
+      Out->set_token(Slot.Token);
+      Out->set_phase(static_cast<std::uint32_t>(Slot.Phase));
+      Out->set_changed_index(Slot.ChangedIndex);
+    }
+  }
+  for (const auto &Id : OperationOrder) {
+    const apply_result &Result = Operations.at(Id);
+    auto *Record = Snapshot.add_operations();
+    Record->set_operation_id(Id);
+    Record->set_accepted(Result.accepted());
+    Record->set_error_kind(static_cast<std::uint32_t>(
+        Result.Refusal.value_or(error_kind::Internal)));
+    Record->set_version(Result.Version);
+    Record->set_message(Result.Message);
+  }
+  return Snapshot;
+}
+
+cluster_state
+cluster_state::fromSnapshot(const wire::state_snapshot &Snapshot) {
+  cluster_state State;
+  State.Index = Snapshot.index();
+  State.ConfigVersion = Snapshot.config_version();
+  State.TimeMs = Snapshot.time_ms();
+  State.NextToken = Snapshot.next_token();
+  State.InventoryJson = Snapshot.inventory_json();
+  State.RulesJson = Snapshot.rules_json();
+  try {
+    if (!State.InventoryJson.empty())
+      State.Inventory =
+          std::make_shared<inventory>(parseInventory(State.InventoryJson));
+    if (!State.RulesJson.empty())
+      State.Rules = std::make_shared<rules>(parseRules(State.RulesJson));
+  } catch (const pomelo_error &Failure) {
+    throw pomelo_error(error_kind::StorageFailed,
+                       fmt::format("snapshot: {}", Failure.what()));
+  }
+  auto Keys = std::make_shared<key_map>();
+  for (const auto &Record : Snapshot.keys())
+    Keys->emplace(
+        Record.key_id(),
+        account_key{Record.account(), Record.key_hash(), Record.withdrawn()});
+  State.Keys = std::move(Keys);
+  for (const auto &Name : Snapshot.domains_out())
+    State.DomainsOut.insert(Name);
+  for (const auto &Name : Snapshot.targets_out())
+    State.TargetsOut.insert(Name);
+  for (const auto &Record : Snapshot.hosts())
+    State.EntryHosts[Record.host().host_id()] = {
+        Record.host().host_id(), Record.host().incarnation(),
+        Record.host().failure_domain()};
+  auto Targets = std::make_shared<target_map>();
+  for (const auto &Record : Snapshot.targets()) {
+    target_member Member = toMember(Record.target());
+    Member.Leaving = Record.leaving();
+    Member.JoinedMs = Record.joined_ms();
+    Targets->emplace(Member.TargetId, std::move(Member));
+  }
+  State.Targets = std::move(Targets);
+  for (const auto &Record : Snapshot.slots()) {
+    auto Table = std::make_shared<slot_table>();
+    for (const auto &Slot : Record.slots())
+      Table->push_back({Slot.owner(), Slot.token(),
+                        static_cast<slot_phase>(Slot.phase()),
+                        Slot.changed_index()});
+    State.Slots[Record.service()] = std::move(Table);
+  }
+  for (const auto &Record : Snapshot.operations()) {
+    apply_result Result;
+    if (!Record.accepted())
+      Result.Refusal = static_cast<error_kind>(Record.error_kind());
+    Result.Version = Record.version();
+    Result.Message = Record.message();
+    State.rememberOperation(Record.operation_id(), Result);
+  }
+  return State;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/state/config_changes.cpp
@@ -0,0 +1,141 @@
+#include "pomeloswitch/state/config_changes.hpp"
+
+#include "pomeloswitch/wire/generated/inner.pb.h"
+#include "pomeloswitch/wire/secret_hash.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+using wire::command;
+
+void setMembership(name_set &Names, const std::string &Name, bool Member) {
+  if (Member)
+    Names.insert(Name);
+  else
+    Names.erase(Name);
+}
+
+[[noreturn]] void refuse(error_kind Kind, const std::string &Message) {
+  throw pomelo_error(Kind, Message);
+}
+
+bool hasTargets(const cluster_state &State, std::string_view Service) {
+  return std::any_of(
+      State.targets().begin(), State.targets().end(),
+      [Service](const auto &Entry) { return Entry.second.Service == Service; });
+}
+
+// Dropping or resizing a slot table would forget who owns what while targets
+// still serve it.
+void refuseUnsafeServiceChanges(const cluster_state &State,
+                                const inventory &Changed) {
+  for (const service &Old : State.inventoryPart()->Services) {
+    const service *New = Changed.findService(Old.Name);
+    if (New && New->KeySlots == Old.KeySlots)
+      continue;
+    if (hasTargets(State, Old.Name))
+      refuse(error_kind::InvalidChange,
+             fmt::format("inventory: services.{}: cannot be removed or given "
+                         "other key_slots while it has targets",
+                         Old.Name));
+  }
+}
+
+} // namespace
+
+bool config_changes::covers(const command &Command) {
+  switch (Command.body_case()) {
+  case command::kSetInventory:
+  case command::kSetRules:
+  case command::kIssueKey:
+  case command::kWithdrawKey:
+  case command::kSetDrain:
+    return true;
+  default:
+    return false;
+  }
+}
+
+void config_changes::apply(const command &Command) {
+  switch (Command.body_case()) {
+  case command::kSetInventory:
+    return setInventory(Command.set_inventory());
+  case command::kSetRules:
+    return setRules(Command.set_rules());
+  case command::kIssueKey:
+    return issueKey(Command.issue_key());
+  case command::kWithdrawKey:
+    return withdrawKey(Command.withdraw_key());
+  case command::kSetDrain:
+    return setDrain(Command.set_drain());
+  default:
+    refuse(error_kind::Internal, "not a configuration change");
+  }
+}
+
+void config_changes::setInventory(const wire::set_document &Change) {
+  auto Parsed = std::make_shared<inventory>(parseInventory(Change.json()));
+  checkRulesAgainst(*State.Rules, *Parsed);
+  for (const auto &[Id, Key] : State.keys())
+    if (!Key.Withdrawn && !Parsed->findAccount(Key.Account))
+      refuse(error_kind::InvalidChange,
+             fmt::format("inventory: client_accounts: account \"{}\" still has "
+                         "the key {}",
+                         Key.Account, Id));
+  refuseUnsafeServiceChanges(State, *Parsed);
+  State.Inventory = std::move(Parsed);
+  State.InventoryJson = Change.json();
+  State.fitSlotTables();
+}
+
+void config_changes::setRules(const wire::set_document &Change) {
+  auto Parsed = std::make_shared<rules>(parseRules(Change.json()));
+  checkRulesAgainst(*Parsed, *State.Inventory);
+  State.Rules = std::move(Parsed);
+  State.RulesJson = Change.json();
+}
+
+void config_changes::issueKey(const wire::issue_key &Change) {
+  if (!State.Inventory->findAccount(Change.account()))
+    refuse(error_kind::NotFound,
+           fmt::format("the inventory has no client account \"{}\"",
+                       Change.account()));
+  if (Change.key_id().empty() || Change.key_hash().size() != HashBytes)
+    refuse(error_kind::InvalidChange, "the key has no id or no whole hash");
+  if (State.Keys->contains(Change.key_id()))
+    refuse(error_kind::InvalidChange,
+           fmt::format("the key {} exists already", Change.key_id()));
+  auto Keys = std::make_shared<key_map>(*State.Keys);
+  Keys->emplace(Change.key_id(),
+                account_key{Change.account(), Change.key_hash(), false});
+  State.Keys = std::move(Keys);
+}
+
+void config_changes::withdrawKey(const wire::withdraw_key &Change) {
+  if (!State.Keys->contains(Change.key_id()))
+    refuse(error_kind::NotFound,
+           fmt::format("there is no key {}", Change.key_id()));
+  auto Keys = std::make_shared<key_map>(*State.Keys);
+  Keys->at(Change.key_id()).Withdrawn = true;
+  State.Keys = std::move(Keys);
+}
+
+void config_changes::setDrain(const wire::set_drain &Change) {
+  if (Change.scope() == wire::set_drain::FAILURE_DOMAIN) {
+    if (!State.Inventory->findFailureDomain(Change.name()))
+      refuse(error_kind::NotFound,
+             fmt::format("the inventory has no failure domain \"{}\"",
+                         Change.name()));
+    return setMembership(State.DomainsOut, Change.name(), Change.out());
+  }
+  if (Change.out() && !State.targets().contains(Change.name()))
+    refuse(error_kind::NotFound,
+           fmt::format("there is no target \"{}\"", Change.name()));
+  setMembership(State.TargetsOut, Change.name(), Change.out());
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/state/config_changes.hpp
@@ -0,0 +1,39 @@
+//! The operators' changes to the configuration.
+#ifndef POMELOSWITCH_STATE_CONFIG_CHANGES_HPP
+#define POMELOSWITCH_STATE_CONFIG_CHANGES_HPP
+
+#include "pomeloswitch/state/cluster_state.hpp"
+
+namespace pomelo::wire {
+class issue_key;
+class set_document;
+class set_drain;
+class withdraw_key;
+} // namespace pomelo::wire
+
+namespace pomelo {
+
+//! Applies one operators' change to a state, whole or not at all. Each member
+//! throws pomelo_error to refuse the change before it has changed anything.
+class config_changes {
+public:
+  explicit config_changes(cluster_state &State) : State(State) {}
+
+  //! Whether \p Command is an operators' change.
+  static bool covers(const wire::command &Command);
+
+  void apply(const wire::command &Command);
+
+private:
+  void setInventory(const wire::set_document &Change);
+  void setRules(const wire::set_document &Change);
+  void issueKey(const wire::issue_key &Change);
+  void withdrawKey(const wire::withdraw_key &Change);
+  void setDrain(const wire::set_drain &Change);
+
+  cluster_state &State;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/tests/settings/entry_settings_test.cpp
@@ -0,0 +1,81 @@
+#include "pomeloswitch/settings/entry_settings.hpp"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace pomelo {
+namespace {
+
+std::string secretFile() {
+  const std::string Path = testing::TempDir() + "entry_settings_secret";
+  std::ofstream(Path) << "a secret of the cluster\n";
+  return Path;
+}
+
+boost::json::object validSettings() {
+  return {{"host_id", "e1"},
+          {"failure_domain", "a"},
+          {"caller_address", "127.0.0.1:0"},
+          {"announce_address", "127.0.0.1:0"},
+          {"ops_address", "127.0.0.1:0"},
+          {"control_hosts", boost::json::array{boost::json::object{
+                                {"id", "c1"}, {"address", "127.0.0.1:9000"}}}},
+          {"cluster_secret_file", secretFile()}};
+}
+
+TEST(entry_settings, valid_settings_are_read_whole) {
+  const entry_settings Settings =
+      parseEntrySettings(boost::json::serialize(validSettings()));
+  EXPECT_EQ(Settings.HostId, "e1");
+  EXPECT_EQ(Settings.ControlHosts.size(), 1U);
+  EXPECT_EQ(Settings.ClusterSecret, "a secret of the cluster");
+  EXPECT_EQ(Settings.TrafficThreads, 1U);
+}
+
+struct bad_field {
+  std::string Field;
+  boost::json::value Value;
+  std::string NamedPath;
+};
+
+void PrintTo(const bad_field &Case, std::ostream *Out) { *Out << Case.Field; }
+
+class bad_entry_settings : public testing::TestWithParam<bad_field> {};
+
+TEST_P(bad_entry_settings, are_refused_with_the_path_of_the_field) {
+  boost::json::object Settings = validSettings();
+  Settings[GetParam().Field] = GetParam().Value;
+  try {
+    parseEntrySettings(boost::json::serialize(Settings));
+    FAIL() << "accepted";
+  } catch (const pomelo_error &Refusal) {
+    const std::string Message = Refusal.what();
+    EXPECT_EQ(Refusal.kind(), error_kind::BadSettings);
+    EXPECT_NE(Message.find(GetParam().NamedPath), std::string::npos) << Message;
+    EXPECT_EQ(Message.find('\n'), std::string::npos) << Message;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_fault, bad_entry_settings,
+    testing::Values(
+        bad_field{"unknown_field", 1, "unknown_field"},
+        bad_field{"host_id", 7, "host_id"},
+        bad_field{"traffic_threads", 0, "traffic_threads"},
+        bad_field{"caller_address", "localhost", "caller_address"},
+        bad_field{"control_hosts", boost::json::array{}, "control_hosts"},
+        bad_field{"control_hosts",
+                  boost::json::array{boost::json::object{{"id", "c1"}}},
+                  "control_hosts[0]"},
+        bad_field{"cluster_secret_file", "/nowhere/secret",
+                  "/nowhere/secret"}));
+
+TEST(entry_settings, a_document_that_is_not_json_is_refused) {
+  EXPECT_THROW(parseEntrySettings("{"), pomelo_error);
+}
+
+} // namespace
+} // namespace pomelo
--- /dev/null
+++ b/tools/standin_target/target_options.cpp
@@ -0,0 +1,71 @@
+#include "standin_target/target_options.hpp"
+
+#include <docopt/docopt.h>
+
+#include <sstream>
+
+namespace pomelo::standin {
+namespace {
+
+constexpr const char *Usage = R"(standin-target: a target for tests and demos.
+
+Usage:
+  standin-target --id=ID --service=NAME --domain=NAME --credential=TEXT
+                 --announce=LIST [options]
+  standin-target (-h | --help)
+
+Options:
+  --id=ID               Target id.
+  --service=NAME        Service that it serves.
+  --domain=NAME         Failure domain that it is in.
+  --credential=TEXT     Credential of the service's targets.
+  --announce=LIST       Announcement addresses, separated by commas.
+  --address=ADDRESS     Address to listen on [default: 127.0.0.1:0].
+  --slots=N             Requests served at a time [default: 2].
+  --connections=N       Connections accepted at a time [default: 130].
+  --queue=N             Requests that may wait for a slot [default: 4].
+  --work-us=N           Time that a request takes [default: 1000].
+  --connection-us=N     Time that a new connection costs [default: 1000].
+  --checks-fence        Refuse requests without a valid grant.
+  --journal=FILE        Append a JSON line for each event.
+  --ready-file=FILE     Write the bound address there, as JSON, once ready.
+  -h --help             Show this text.
+)";
+
+std::vector<std::string> splitList(const std::string &List) {
+  std::vector<std::string> Items;
+  std::istringstream Stream(List);
+  for (std::string Item; std::getline(Stream, Item, ',');)
+    Items.push_back(Item);
+  return Items;
+}
+
+} // namespace
+
+target_options parseTargetOptions(int Argc, char **Argv) {
+  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  const auto Text = [&](const char *Name) {
+    return Arguments.at(Name) ? Arguments.at(Name).asString() : std::string();
+  };
+  const auto Number = [&](const char *Name) {
+    return static_cast<std::uint32_t>(Arguments.at(Name).asLong());
+  };
+  target_options Options;
+  Options.TargetId = Text("--id");
+  Options.Service = Text("--service");
+  Options.FailureDomain = Text("--domain");
+  Options.Credential = Text("--credential");
+  Options.AnnounceAddresses = splitList(Text("--announce"));
+  Options.Address = Text("--address");
+  Options.Slots = Number("--slots");
+  Options.Connections = Number("--connections");
+  Options.QueueLength = Number("--queue");
+  Options.Work = std::chrono::microseconds(Number("--work-us"));
+  Options.ConnectionCost = std::chrono::microseconds(Number("--connection-us"));
+  Options.ChecksFence = Arguments.at("--checks-fence").asBool();
+  Options.JournalFile = Text("--journal");
+  Options.ReadyFile = Text("--ready-file");
+  return Options;
+}
+
+} // namespace pomelo::standin
