Share client accounts' rates among entry hosts

The leader's rate_ledger leases each host a part of the rate and of the room to save it up, and hands out burst tokens from one central bucket; the entry host's host_quota admits from these. A decrease counts once the host has acknowledged it or its lease has surely run out; a new leader grants nothing anew before it knows what its predecessor granted. Not wired in yet.

--- /dev/null
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -0,0 +1,97 @@
+//! The leader's account of one client account: what is leased to whom.
+#ifndef POMELOSWITCH_ADMISSION_ACCOUNT_LEDGER_HPP
+#define POMELOSWITCH_ADMISSION_ACCOUNT_LEDGER_HPP
+
+#include "pomeloswitch/admission/account_quota.hpp"
+#include "pomeloswitch/membership/lease_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace pomelo {
+
+//! One run of an entry process: host id and incarnation.
+using host_run = std::pair<std::string, std::uint64_t>;
+
+//! Leases parts of one account's rate and burst. At any time the rates that
+//! hosts may be using add up to at most the account's rate, and the central
+//! bucket, the depths and the burst tokens that they may hold to at most its
+//! burst. Hence the fleet admits at most rate * W + burst in any window W.
+//! Not thread-safe.
+class account_ledger {
+public:
+  //! The central bucket begins empty.
+  explicit account_ledger(mono_time Now) : FilledAt(Now) {}
+
+  //! Takes on the account's configured rate and burst.
+  void configure(double NewRate, double NewBurst, mono_time Now);
+
+  //! Empties the central bucket.
+  void empty(mono_time Now);
+
+  //! Learns which of the grants given to \p Host have ended, and its demand.
+  void acknowledge(const host_run &Host, const account_report &Report,
+                   mono_time Now);
+
+  //! Takes over a grant that an earlier leader gave.
+  void inherit(const host_run &Host, const account_report &Report);
+
+  //! Decides what \p Host has from now on. \p NextGrantId is used up if that
+  //! differs from before.
+  account_grant grant(const host_run &Host, std::string_view Account,
+                      std::uint64_t &NextGrantId, mono_time Now);
+
+  //! Frees what \p Host held. Call only when its lease has surely run out.
+  void expire(const host_run &Host, mono_time Now);
+
+  //! Whether \p Host may have some of the rate or the burst.
+  [[nodiscard]] bool holds(const host_run &Host) const;
+  //! The account gets no requests at \p Host.
+  void setIdle(const host_run &Host);
+  //! Most that the hosts may be using, requests/s.
+  [[nodiscard]] double leasedRate() const;
+  //! Most that is stored anywhere, requests.
+  [[nodiscard]] double stored() const;
+
+private:
+  struct issued {
+    std::uint64_t Id = 0;
+    double RatePerSecond = 0;
+    double Depth = 0;
+  };
+  struct holding {
+    std::vector<issued> Issued; //!< The last acknowledged one and later ones.
+    double BurstTotal = 0;
+    double BurstSpent = 0;
+    double BurstReturned = 0;
+    double SurplusSeen = 0;
+    double Demand = 0;
+    double Wanted = 0;
+
+    [[nodiscard]] double rateBound() const;
+    //! Most unused rate at the host and on its way back.
+    [[nodiscard]] double savedBound() const;
+    [[nodiscard]] double burstBound() const {
+      return BurstTotal - BurstSpent - BurstReturned;
+    }
+  };
+
+  void fill(mono_time Now);
+  void clip();
+  [[nodiscard]] double targetRate(const host_run &Host) const;
+  [[nodiscard]] double targetDepth(const holding &Holding, double Share) const;
+  [[nodiscard]] double savedBound() const;
+  [[nodiscard]] double outstandingBurst() const;
+
+  double Rate = 0;
+  double Burst = 0;
+  double Central = 0; //!< Tokens in the central bucket.
+  mono_time FilledAt;
+  std::map<host_run, holding> Holdings;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -0,0 +1,130 @@
+#include "pomeloswitch/admission/rate_ledger.hpp"
+
+#include <algorithm>
+
+namespace pomelo {
+
+void rate_ledger::startTerm(std::uint64_t NewTerm, mono_time Now) {
+  Term = NewTerm;
+  TermBegan = Now;
+  TakeoverDone = false;
+  Hosts.clear();
+  Ledgers.clear();
+}
+
+const account_ledger *rate_ledger::find(std::string_view Account) const {
+  const auto Found = Ledgers.find(Account);
+  return Found == Ledgers.end() ? nullptr : &Found->second;
+}
+
+void rate_ledger::configure(std::span<const client_account> Accounts,
+                            mono_time Now) {
+  for (const client_account &Account : Accounts)
+    Ledgers.try_emplace(Account.Name, Now)
+        .first->second.configure(Account.RatePerSecond, Account.Burst, Now);
+  // What hosts hold of a removed account counts on, should it come back.
+  for (auto Entry = Ledgers.begin(); Entry != Ledgers.end();) {
+    auto &[Name, Ledger] = *Entry;
+    const bool Removed = std::none_of(Accounts.begin(), Accounts.end(),
+                                      [&](const client_account &Account) {
+                                        return Account.Name == Entry->first;
+                                      });
+    if (Removed)
+      Ledger.configure(0, 0, Now);
+    const bool Free = Ledger.stored() <= 0 && Ledger.leasedRate() <= 0;
+    Entry = Removed && Free ? Ledgers.erase(Entry) : std::next(Entry);
+  }
+}
+
+void rate_ledger::expireHosts(mono_time Now) {
+  std::erase_if(Hosts, [&](const auto &Entry) {
+    if (Now - Entry.second.AnsweredAt <= Times.surely(Times.HostLease))
+      return false;
+    for (auto &[Name, Ledger] : Ledgers)
+      Ledger.expire(Entry.first, Now);
+    return true;
+  });
+}
+
+//! Ends the takeover once no grant of an earlier leader can be unknown.
+void rate_ledger::updateTakeover(const entry_map &Registered, mono_time Now) {
+  if (TakeoverDone)
+    return;
+  const bool AllKept =
+      std::all_of(Hosts.begin(), Hosts.end(),
+                  [](const auto &Entry) { return Entry.second.Inherited; });
+  const bool EarlierExpired = Now - TermBegan > Times.surely(Times.HostLease);
+  const bool AllTold = std::all_of(
+      Registered.begin(), Registered.end(), [this](const auto &Entry) {
+        return Hosts.contains({Entry.first, Entry.second.Incarnation});
+      });
+  TakeoverDone = AllKept && (AllTold || EarlierExpired);
+  // Until now more may have been leased than was known.
+  if (TakeoverDone)
+    for (auto &[Name, Ledger] : Ledgers)
+      Ledger.empty(Now);
+}
+
+void rate_ledger::learn(const host_run &Host, host_record &Record,
+                        const quota_report &Report, mono_time Now) {
+  if (Report.Term != Term)
+    return;
+  if (!Record.Inherited) {
+    Record.Inherited = true;
+    for (const account_report &Account : Report.Accounts)
+      if (const auto Ledger = Ledgers.find(Account.Account);
+          Ledger != Ledgers.end())
+        Ledger->second.inherit(Host, Account);
+    return;
+  }
+  if (Report.Epoch != Record.Epoch)
+    return;
+  for (const account_report &Account : Report.Accounts)
+    if (const auto Ledger = Ledgers.find(Account.Account);
+        Ledger != Ledgers.end())
+      Ledger->second.acknowledge(Host, Account, Now);
+}
+
+quota_grant rate_ledger::grantAll(const host_run &Host,
+                                  const host_record &Record,
+                                  const quota_report &Report, mono_time Now) {
+  quota_grant Grant;
+  Grant.Term = Term;
+  Grant.Epoch = Record.Epoch;
+  Grant.KeepHeld = !TakeoverDone || !Record.Inherited;
+  if (Grant.KeepHeld)
+    return Grant;
+  // An account that the host no longer reports may still have an earlier
+  // grant there, which is taken back.
+  for (auto &[Name, Ledger] : Ledgers) {
+    const bool Reported = std::any_of(
+        Report.Accounts.begin(), Report.Accounts.end(),
+        [&](const account_report &Each) { return Each.Account == Name; });
+    if (!Reported)
+      Ledger.setIdle(Host);
+    if (Reported || Ledger.holds(Host))
+      Grant.Accounts.push_back(Ledger.grant(Host, Name, NextId, Now));
+  }
+  return Grant;
+}
+
+std::optional<quota_grant>
+rate_ledger::answer(const host_run &Host, const quota_report &Report,
+                    std::span<const client_account> Accounts,
+                    const entry_map &Registered, mono_time Now) {
+  expireHosts(Now);
+  configure(Accounts, Now);
+  const auto [Found, New] = Hosts.try_emplace(Host);
+  host_record &Record = Found->second;
+  if (!New && Report.Sequence <= Record.Sequence)
+    return std::nullopt;
+  if (New)
+    Record.Epoch = NextId++;
+  Record.Sequence = Report.Sequence;
+  Record.AnsweredAt = Now;
+  learn(Host, Record, Report, Now);
+  updateTakeover(Registered, Now);
+  return grantAll(Host, Record, Report, Now);
+}
+
+} // namespace pomelo
