Refuse requests that two parties could read differently

Ruled out: the parser already refuses both lengths at once, two lengths, signed lengths, spaces before the colon and control characters. Change: checkRequestHeader, a timeout for a whole header, an answer before the connection is closed, prefixes that match whole segments.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -57,7 +57,8 @@
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
         Authority, Settings.ClusterSecret, CallerAddress,
-        Settings.MaxCallerConnections / Settings.TrafficThreads));
+        caller_limits{Settings.MaxCallerConnections / Settings.TrafficThreads,
+                      std::chrono::milliseconds(Settings.HeaderTimeoutMs)}));
     CallerAddress = Threads.front()->address();
   }
   AnnounceServer = std::make_unique<simple_server>(
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -14,10 +14,10 @@
 traffic_thread::traffic_thread(const authority &Authority,
                                const std::string &ClusterSecret,
                                const boost::asio::ip::tcp::endpoint &Address,
-                               std::size_t MaxConnections)
+                               caller_limits Limits)
     : Work(boost::asio::make_work_guard(Io)),
-      Context(Io, Authority, ClusterSecret),
-      Server(Context, Address, MaxConnections), Ticker(Io), IdleTimer(Io) {}
+      Context(Io, Authority, ClusterSecret), Server(Context, Address, Limits),
+      Ticker(Io), IdleTimer(Io) {}
 
 traffic_thread::~traffic_thread() {
   Io.stop();
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -21,7 +21,7 @@
 public:
   traffic_thread(const authority &Authority, const std::string &ClusterSecret,
                  const boost::asio::ip::tcp::endpoint &Address,
-                 std::size_t MaxConnections);
+                 caller_limits Limits);
   ~traffic_thread();
 
   void start();
--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/exchange.hpp"
+#include "pomeloswitch/http/request_checks.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,7 +14,9 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <chrono>
+#include <optional>
 
 namespace pomelo {
 namespace {
@@ -29,6 +32,9 @@
 
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 constexpr auto IdleTimeout = std::chrono::seconds(60);
+constexpr auto RefusalTimeout = std::chrono::seconds(2);
+constexpr std::size_t FirstReadBytes = 4096;
+constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 
 tcp::acceptor listenOn(asio::io_context &Io, const tcp::endpoint &Address) {
   tcp::acceptor Acceptor(Io);
@@ -40,6 +46,53 @@
   return Acceptor;
 }
 
+//! Answers and ends the sending side; what the caller still sends is not read
+//! as a request.
+asio::awaitable<void> sendRefusal(beast::tcp_stream &Stream,
+                                  const pomelo_error &Refusal) {
+  auto Response = makeErrorResponse(Refusal.kind(), Refusal.what(), 11);
+  Response.keep_alive(false);
+  Stream.expires_after(RefusalTimeout);
+  co_await http::async_write(Stream, Response, asio::use_awaitable);
+  error_code Ignored;
+  Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  // Unread bytes would make the system reset the connection before the caller
+  // has read the answer.
+  std::array<char, FirstReadBytes> Rest{};
+  std::size_t Count = 1;
+  for (std::size_t Read = 0; Count > 0 && Read < MaxDiscardedBytes;
+       Read += Count)
+    Count = co_await Stream.async_read_some(
+        asio::buffer(Rest), asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+asio::awaitable<void> refuseConnection(tcp::socket Socket) {
+  beast::tcp_stream Stream(std::move(Socket));
+  const pomelo_error Refusal(error_kind::Overloaded,
+                             "this entry host has no room for connections");
+  co_await sendRefusal(Stream, Refusal);
+}
+
+//! Counts a request as open while it exists.
+class open_request {
+public:
+  open_request(traffic_context &Context, bool &Serving)
+      : Context(Context), Serving(Serving) {
+    ++Context.OpenRequests;
+    Serving = true;
+  }
+  ~open_request() {
+    --Context.OpenRequests;
+    Serving = false;
+  }
+  open_request(const open_request &) = delete;
+  open_request &operator=(const open_request &) = delete;
+
+private:
+  traffic_context &Context;
+  bool &Serving;
+};
+
 } // namespace
 
 struct caller_server::connection {
@@ -51,10 +104,9 @@
 };
 
 caller_server::caller_server(traffic_context &Context,
-                             const tcp::endpoint &Address,
-                             std::size_t MaxConnections)
+                             const tcp::endpoint &Address, caller_limits Limits)
     : Context(Context), Acceptor(listenOn(Context.Io, Address)),
-      MaxConnections(MaxConnections) {
+      Limits(Limits) {
   asio::co_spawn(Context.Io, acceptLoop(), asio::detached);
 }
 
@@ -76,9 +128,14 @@
     error_code Error;
     tcp::socket Socket = co_await Acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, Error));
-    if (Error || Connections.size() >= MaxConnections)
+    if (Error)
       continue;
     Socket.set_option(tcp::no_delay(true), Error);
+    if (Connections.size() >= Limits.Connections) {
+      asio::co_spawn(Context.Io, refuseConnection(std::move(Socket)),
+                     asio::detached);
+      continue;
+    }
     auto Connection = std::make_shared<connection>(std::move(Socket));
     asio::co_spawn(Context.Io, serve(std::move(Connection)), asio::detached);
   }
@@ -100,36 +157,47 @@
     request_stream_parser Parser;
     Parser.header_limit(MaxHeaderBytes);
     Parser.body_limit(boost::none);
-    Connection.Stream.expires_after(IdleTimeout);
-    error_code Error;
-    co_await http::async_read_header(
-        Connection.Stream, Connection.Buffer, Parser,
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (Error == http::error::end_of_stream || Error == beast::error::timeout)
-      co_return;
-    if (Error) {
-      const auto Kind = Error == http::error::header_limit
-                            ? error_kind::HeaderTooLarge
-                            : error_kind::BadRequest;
-      auto Response = makeErrorResponse(Kind, Error.message(), 11);
-      Response.keep_alive(false);
-      co_await http::async_write(Connection.Stream, Response,
-                                 asio::use_awaitable);
+    const bool Read = co_await readHeader(Connection, Parser);
+    if (!Read)
       co_return;
-    }
-    Connection.Serving = true;
-    ++Context.OpenRequests;
-    struct open_request {
-      traffic_context &Context;
-      connection &Connection;
-      ~open_request() {
-        --Context.OpenRequests;
-        Connection.Serving = false;
-      }
-    } Open{Context, Connection};
+    const open_request Open(Context, Connection.Serving);
     exchange Exchange(Context, Connection.Stream, Connection.Buffer, Parser);
     KeepAlive = co_await Exchange.run();
   }
 }
 
+asio::awaitable<bool> caller_server::readHeader(connection &Connection,
+                                                request_stream_parser &Parser) {
+  error_code Error;
+  if (Connection.Buffer.size() == 0) {
+    Connection.Stream.expires_after(IdleTimeout);
+    const std::size_t Count = co_await Connection.Stream.async_read_some(
+        Connection.Buffer.prepare(FirstReadBytes),
+        asio::redirect_error(asio::use_awaitable, Error));
+    Connection.Buffer.commit(Count);
+    if (Error)
+      co_return false;
+  }
+  Connection.Stream.expires_after(Limits.HeaderTimeout);
+  co_await http::async_read_header(
+      Connection.Stream, Connection.Buffer, Parser,
+      asio::redirect_error(asio::use_awaitable, Error));
+  if (Error == http::error::end_of_stream || Error == beast::error::timeout)
+    co_return false;
+  std::optional<pomelo_error> Refusal;
+  try {
+    if (Error)
+      throw pomelo_error(Error == http::error::header_limit
+                             ? error_kind::HeaderTooLarge
+                             : error_kind::BadRequest,
+                         Error.message());
+    checkRequestHeader(Parser.get());
+  } catch (const pomelo_error &Failure) {
+    Refusal = Failure;
+  }
+  if (Refusal)
+    co_await sendRefusal(Connection.Stream, *Refusal);
+  co_return !Refusal;
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -2,24 +2,32 @@
 #ifndef POMELOSWITCH_HTTP_CALLER_SERVER_HPP
 #define POMELOSWITCH_HTTP_CALLER_SERVER_HPP
 
+#include "pomeloswitch/http/exchange.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <set>
 
 namespace pomelo {
 
+struct caller_limits {
+  std::size_t Connections = 10000;
+  std::chrono::milliseconds HeaderTimeout{10000}; //!< For a whole header.
+};
+
 class caller_server {
 public:
   //! Listens with SO_REUSEPORT, so that each traffic thread has its own
   //! listener. \throws boost::system::system_error.
   caller_server(traffic_context &Context,
                 const boost::asio::ip::tcp::endpoint &Address,
-                std::size_t MaxConnections);
+                caller_limits Limits);
 
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
@@ -34,10 +42,13 @@
   boost::asio::awaitable<void> acceptLoop();
   boost::asio::awaitable<void> serve(std::shared_ptr<connection> Connection);
   boost::asio::awaitable<void> serveRequests(connection &Connection);
+  //! Reads a header; returns false where the connection is to be closed.
+  boost::asio::awaitable<bool> readHeader(connection &Connection,
+                                          request_stream_parser &Parser);
 
   traffic_context &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
-  std::size_t MaxConnections;
+  caller_limits Limits;
   std::set<std::shared_ptr<connection>> Connections;
 };
 
--- a/src/pomeloswitch/http/forwarded_headers.cpp
+++ b/src/pomeloswitch/http/forwarded_headers.cpp
@@ -35,15 +35,21 @@
   return boost::algorithm::istarts_with(Name, OwnFieldPrefix);
 }
 
-//! Whether the Connection field of \p Fields names \p Name.
-bool namedByConnection(const header_fields &Fields, std::string_view Name) {
-  return http::token_list{Fields[http::field::connection]}.exists(Name);
+//! Whether the Connection field of \p Fields makes \p Field one between
+//! neighbours only. It cannot do so for fields that give the message its shape.
+bool namedByConnection(const header_fields &Fields,
+                       const header_fields::value_type &Field) {
+  if (Field.name() == http::field::content_length ||
+      Field.name() == http::field::host)
+    return false;
+  return http::token_list{Fields[http::field::connection]}.exists(
+      Field.name_string());
 }
 
 bool passes(const header_fields &Fields,
             const header_fields::value_type &Field) {
   return !isHopByHop(Field.name()) && !isOwnField(Field.name_string()) &&
-         !namedByConnection(Fields, Field.name_string());
+         !namedByConnection(Fields, Field);
 }
 
 bool isHex(std::string_view Text) {
--- a/src/pomeloswitch/routing/route_table.cpp
+++ b/src/pomeloswitch/routing/route_table.cpp
@@ -16,6 +16,14 @@
                                         : Target.substr(Mark + 1);
 }
 
+//! Whether the prefix ends where a segment of the path does.
+bool coversPath(const route &Route, std::string_view Path) {
+  if (!Path.starts_with(Route.PathPrefix))
+    return false;
+  const std::string_view Rest = Path.substr(Route.PathPrefix.size());
+  return Rest.empty() || Rest.front() == '/' || Route.PathPrefix.ends_with('/');
+}
+
 bool coversMethod(const route &Route, std::string_view Method) {
   return Route.Methods.empty() ||
          std::find(Route.Methods.begin(), Route.Methods.end(), Method) !=
@@ -65,11 +73,10 @@
 
 const route *findRoute(const rules &Rules, const request_facts &Request) {
   const std::string_view Path = pathOf(Request.Target);
-  const auto Found = std::find_if(Rules.Routes.begin(), Rules.Routes.end(),
-                                  [&](const route &Route) {
-                                    return Path.starts_with(Route.PathPrefix) &&
-                                           coversMethod(Route, Request.Method);
-                                  });
+  const auto Found = std::find_if(
+      Rules.Routes.begin(), Rules.Routes.end(), [&](const route &Route) {
+        return coversPath(Route, Path) && coversMethod(Route, Request.Method);
+      });
   return Found == Rules.Routes.end() ? nullptr : &*Found;
 }
 
--- a/src/pomeloswitch/settings/entry_settings.cpp
+++ b/src/pomeloswitch/settings/entry_settings.cpp
@@ -24,6 +24,7 @@
     "traffic_threads": {{"type": "integer", "minimum": 1, "maximum": 64}},
     "max_caller_connections":
       {{"type": "integer", "minimum": 1, "maximum": 1000000}},
+    "header_timeout_ms": {{"type": "integer", "minimum": 10, "maximum": 600000}},
     "stop_grace_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
     "log": {{"$ref": "#/definitions/log"}},
     "trace_file": {{"type": "string"}}
@@ -51,6 +52,8 @@
       numberField(Object, "traffic_threads", Settings.TrafficThreads));
   Settings.MaxCallerConnections = static_cast<unsigned>(numberField(
       Object, "max_caller_connections", Settings.MaxCallerConnections));
+  Settings.HeaderTimeoutMs = static_cast<std::uint32_t>(
+      numberField(Object, "header_timeout_ms", Settings.HeaderTimeoutMs));
   Settings.StopGraceMs = static_cast<std::uint32_t>(
       numberField(Object, "stop_grace_ms", Settings.StopGraceMs));
   Settings.Log = readLogSettings(Object);
--- a/src/pomeloswitch/settings/entry_settings.hpp
+++ b/src/pomeloswitch/settings/entry_settings.hpp
@@ -21,7 +21,8 @@
   std::string ClusterSecret;
   unsigned TrafficThreads = 1;
   unsigned MaxCallerConnections = 10000;
-  std::uint32_t StopGraceMs = 30000; //!< Longest wait for open requests.
+  std::uint32_t HeaderTimeoutMs = 10000; //!< For a whole request header.
+  std::uint32_t StopGraceMs = 30000;     //!< Longest wait for open requests.
   log_settings Log;
   std::string TraceFile; //!< Spans are appended here; empty for none.
 };
