Hold requests to their client account's rate

Heartbeats carry each entry host's demand, their answers what it may use. A request that finds nothing left waits up to 100 ms for its share or for more tokens, which a hurried heartbeat asks for; then it is refused as rate_exceeded, not run, with Retry-After worked out from the share.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/control/control_host.hpp"
 
+#include "pomeloswitch/admission/quota_codec.hpp"
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 
 namespace pomelo {
 namespace {
@@ -24,6 +26,12 @@
           .count());
 }
 
+//! Tells this term's quota grants from those of every other.
+std::uint64_t randomTerm() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) | Device();
+}
+
 } // namespace
 
 //! What a control host keeps about one link.
@@ -61,7 +69,8 @@
                            control_settings GivenSettings,
                            std::unique_ptr<replicated_log> GivenLog)
     : Io(Io), Settings(std::move(GivenSettings)), Log(std::move(GivenLog)),
-      Leases(lease_times()), Planner(planner_limits()), Ticker(Io) {
+      Leases(lease_times()), Rates(Leases.times()), Planner(planner_limits()),
+      Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -116,8 +125,10 @@
   };
   Applier.OnLeadership = [this](bool Leading) {
     PlannedInFlight = 0;
-    if (Leading)
+    if (Leading) {
       Leases.startTerm(State, steady_clock::now());
+      Rates.startTerm(randomTerm(), steady_clock::now());
+    }
     Text.info("{} {} lead.", Settings.HostId,
               Leading ? "begins to" : "ceases to");
   };
@@ -205,9 +216,20 @@
     Leases.targetHeard(Target);
     Ack->add_targets(Joined.target_id());
   }
+  answerQuota(Beat, Now, *Ack);
   Link->send(Answer);
 }
 
+void control_host::answerQuota(const wire::heartbeat &Beat, mono_time Now,
+                               wire::heartbeat_ack &Ack) {
+  const auto Grant = Rates.answer({Beat.host_id(), Beat.incarnation()},
+                                  decode(Beat.quota(), Beat.sequence()),
+                                  State.inventoryPart()->ClientAccounts,
+                                  State.entryHosts(), Now);
+  if (Grant)
+    encode(*Grant, *Ack.mutable_quota());
+}
+
 void control_host::onProposal(const std::shared_ptr<peer_link> &Link,
                               const wire::proposal &Proposal) {
   const std::uint64_t RequestId = Proposal.request_id();
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_CONTROL_CONTROL_HOST_HPP
 #define POMELOSWITCH_CONTROL_CONTROL_HOST_HPP
 
+#include "pomeloswitch/admission/rate_ledger.hpp"
 #include "pomeloswitch/control/admin_api.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
@@ -23,6 +24,7 @@
 namespace pomelo::wire {
 class envelope;
 class heartbeat;
+class heartbeat_ack;
 class proposal;
 } // namespace pomelo::wire
 
@@ -60,6 +62,8 @@
                  const wire::envelope &Message);
   void onHeartbeat(const std::shared_ptr<peer_link> &Link,
                    const wire::heartbeat &Beat);
+  void answerQuota(const wire::heartbeat &Beat, mono_time Now,
+                   wire::heartbeat_ack &Ack);
   void onProposal(const std::shared_ptr<peer_link> &Link,
                   const wire::proposal &Proposal);
   void sendLog(peer_link &Link, session &Session);
@@ -73,6 +77,7 @@
   std::unique_ptr<replicated_log> Log;
   cluster_state State;
   lease_table Leases;
+  rate_ledger Rates;
   slot_planner Planner;
   std::map<std::uint64_t, apply_result> Results;
   std::map<std::shared_ptr<peer_link>, std::unique_ptr<session>> Sessions;
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -146,6 +146,8 @@
     LeaseIndex = std::max<std::uint64_t>(LeaseIndex, Ack.commit_index());
   }
   grantAuthority();
+  if (Ack.has_quota())
+    Callbacks.OnQuota(Ack, Until);
   Callbacks.OnAck(Ack);
 }
 
@@ -192,6 +194,7 @@
   Beat->set_stopping(Stopping);
   for (auto &[Id, Report] : Reports)
     *Beat->add_targets() = *Report;
+  Callbacks.AddQuota(*Beat);
   const steady_time Now = steady_clock::now();
   SentAt[Beat->sequence()] = Now;
   if (SentAt.size() > MaxUnacknowledged)
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 namespace pomelo::wire {
+class heartbeat;
 class heartbeat_ack;
 class log_batch;
 class target_report;
@@ -35,6 +36,10 @@
     std::function<void(const cluster_state &)> OnState;
     //! The lowest quiesced index of all traffic threads.
     std::function<std::uint64_t()> QuiescedIndex;
+    //! Adds the quota report to a heartbeat.
+    std::function<void(wire::heartbeat &)> AddQuota;
+    //! What the leader granted counts until the time given.
+    std::function<void(const wire::heartbeat_ack &, steady_time)> OnQuota;
     //! A heartbeat's reports have been recorded by the leader.
     std::function<void(const wire::heartbeat_ack &)> OnAck;
   };
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -1,6 +1,8 @@
 #include "pomeloswitch/entry/entry_host.hpp"
 
+#include "pomeloswitch/admission/quota_codec.hpp"
 #include "pomeloswitch/routing/routing_view.hpp"
+#include "pomeloswitch_wire/inner.pb.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
@@ -43,20 +45,16 @@
 }
 
 entry_host::entry_host(asio::io_context &Io, entry_settings GivenSettings)
-    : Io(Io), Settings(std::move(GivenSettings)), StopTimer(Io) {
-  control_session::callbacks Callbacks;
-  Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
-  Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
-  Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
-    Announcements->onAck(Ack);
-  };
+    : Io(Io), Settings(std::move(GivenSettings)),
+      Quota([this] { asio::post(this->Io, [this] { Session->hurry(); }); }),
+      StopTimer(Io) {
   Session = std::make_unique<control_session>(
-      Io, Settings, currentIncarnation(), Authority, std::move(Callbacks));
+      Io, Settings, currentIncarnation(), Authority, makeCallbacks());
   Announcements = std::make_unique<announce_api>(Io, *Session);
   auto CallerAddress = parseEndpoint(Settings.CallerAddress);
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
-        Authority, Settings.ClusterSecret, CallerAddress,
+        Authority, Quota, Settings.ClusterSecret, CallerAddress,
         caller_limits{Settings.MaxCallerConnections / Settings.TrafficThreads,
                       std::chrono::milliseconds(Settings.HeaderTimeoutMs)}));
     CallerAddress = Threads.front()->address();
@@ -73,6 +71,25 @@
 
 entry_host::~entry_host() = default;
 
+control_session::callbacks entry_host::makeCallbacks() {
+  control_session::callbacks Callbacks;
+  Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
+  Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
+  Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
+    Announcements->onAck(Ack);
+  };
+  Callbacks.AddQuota = [this](wire::heartbeat &Beat) {
+    encode(Quota.report(steady_clock::now()), *Beat.mutable_quota());
+  };
+  Callbacks.OnQuota = [this](const wire::heartbeat_ack &Ack,
+                             steady_time Until) {
+    if (Quota.apply(Ack.sequence(), decode(Ack.quota()), Until,
+                    steady_clock::now()))
+      Session->hurry();
+  };
+  return Callbacks;
+}
+
 void entry_host::start() {
   for (const auto &Thread : Threads)
     Thread->start();
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -34,6 +34,7 @@
 private:
   entry_host(boost::asio::io_context &Io, entry_settings Settings);
 
+  control_session::callbacks makeCallbacks();
   void onState(const cluster_state &State);
   [[nodiscard]] std::uint64_t quiescedIndex() const;
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
@@ -45,6 +46,7 @@
   entry_settings Settings;
   part_log Log{"entry"};
   authority Authority;
+  host_quota Quota;
   std::unique_ptr<control_session> Session;
   std::unique_ptr<announce_api> Announcements;
   std::vector<std::unique_ptr<traffic_thread>> Threads;
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,13 +11,13 @@
 
 } // namespace
 
-traffic_thread::traffic_thread(const authority &Authority,
+traffic_thread::traffic_thread(const authority &Authority, host_quota &Quota,
                                const std::string &ClusterSecret,
                                const boost::asio::ip::tcp::endpoint &Address,
                                caller_limits Limits)
     : Work(boost::asio::make_work_guard(Io)),
-      Context(Io, Authority, ClusterSecret), Server(Context, Address, Limits),
-      Ticker(Io), IdleTimer(Io) {}
+      Context(Io, Authority, Quota, ClusterSecret),
+      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {}
 
 traffic_thread::~traffic_thread() {
   Io.stop();
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -19,7 +19,8 @@
 
 class traffic_thread {
 public:
-  traffic_thread(const authority &Authority, const std::string &ClusterSecret,
+  traffic_thread(const authority &Authority, host_quota &Quota,
+                 const std::string &ClusterSecret,
                  const boost::asio::ip::tcp::endpoint &Address,
                  caller_limits Limits);
   ~traffic_thread();
--- a/src/pomeloswitch/errors/error_kind.hpp
+++ b/src/pomeloswitch/errors/error_kind.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_ERRORS_ERROR_KIND_HPP
 #define POMELOSWITCH_ERRORS_ERROR_KIND_HPP
 
+#include <chrono>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -68,13 +69,19 @@
 //! The exception that carries an error kind and a message for people.
 class pomelo_error : public std::runtime_error {
 public:
-  pomelo_error(error_kind Kind, const std::string &Message)
-      : std::runtime_error(Message), Kind(Kind) {}
+  //! \p RetryAfter tells when to come back; zero if that is not known.
+  pomelo_error(error_kind Kind, const std::string &Message,
+               std::chrono::milliseconds RetryAfter = {})
+      : std::runtime_error(Message), Kind(Kind), RetryAfter(RetryAfter) {}
 
   [[nodiscard]] error_kind kind() const { return Kind; }
+  [[nodiscard]] std::chrono::milliseconds retryAfter() const {
+    return RetryAfter;
+  }
 
 private:
   error_kind Kind;
+  std::chrono::milliseconds RetryAfter;
 };
 
 } // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -0,0 +1,79 @@
+#include "pomeloswitch/http/account_admission.hpp"
+
+#include "pomeloswitch/errors/error_kind.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+//! A heartbeat to the leader and back takes a fraction of this.
+constexpr milliseconds MaxWait{100};
+constexpr milliseconds PollInterval{5};
+
+account_bucket &bucketOf(traffic_context &Context, std::string_view Account) {
+  const auto Known = Context.Buckets.find(Account);
+  if (Known != Context.Buckets.end())
+    return *Known->second;
+  account_bucket &Bucket = Context.Quota.bucket(Account);
+  Context.Buckets.emplace(Account, &Bucket);
+  return Bucket;
+}
+
+//! Keeps a request counted among those that wait.
+class wait_place {
+public:
+  explicit wait_place(account_bucket &Bucket) : Bucket(Bucket) {}
+  ~wait_place() { Bucket.endWait(); }
+  wait_place(const wait_place &) = delete;
+  wait_place &operator=(const wait_place &) = delete;
+
+private:
+  account_bucket &Bucket;
+};
+
+asio::awaitable<bool> awaitTokens(traffic_context &Context,
+                                  account_bucket &Bucket, steady_time GiveUp) {
+  const wait_place Place(Bucket);
+  asio::steady_timer Timer(Context.Io);
+  for (auto Now = steady_clock::now(); Now < GiveUp;
+       Now = steady_clock::now()) {
+    Context.Quota.askForMore(Now);
+    Timer.expires_at(std::min(GiveUp, Now + PollInterval));
+    co_await Timer.async_wait(asio::use_awaitable);
+    if (Bucket.admitWaiting(steady_clock::now()))
+      co_return true;
+  }
+  co_return false;
+}
+
+} // namespace
+
+asio::awaitable<void> admitToAccount(traffic_context &Context,
+                                     std::string_view Account,
+                                     steady_time Deadline) {
+  account_bucket &Bucket = bucketOf(Context, Account);
+  const steady_time Now = steady_clock::now();
+  if (Bucket.admitArrival(Now))
+    co_return;
+  if (Bucket.beginWait(Now, MaxWait)) {
+    const bool Admitted = co_await awaitTokens(
+        Context, Bucket, std::min(Deadline, Now + MaxWait));
+    if (Admitted)
+      co_return;
+  }
+  throw pomelo_error(
+      error_kind::RateExceeded,
+      fmt::format("the client account {} is above its rate", Account),
+      Bucket.retryAfter());
+}
+
+} // namespace pomelo
--- a/src/pomeloswitch/http/error_response.cpp
+++ b/src/pomeloswitch/http/error_response.cpp
@@ -2,17 +2,21 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <string>
+
 namespace pomelo {
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr std::string_view RetryAfterSeconds = "1";
+constexpr std::chrono::seconds ShortestRetryAfter{1};
 
 } // namespace
 
 text_response makeErrorResponse(error_kind Kind, std::string_view Message,
-                                unsigned HttpVersion) {
+                                unsigned HttpVersion,
+                                std::chrono::milliseconds RetryAfter) {
   const error_answer &Answer = answerFor(Kind);
   const boost::json::object Body{{"error", Answer.Name},
                                  {"message", Message},
@@ -24,7 +28,12 @@
   Response.set(ErrorField, Answer.Name);
   Response.set(RunStateField, toString(Answer.RunState));
   if (Answer.Retry == retry_advice::AfterDelay)
-    Response.set(http::field::retry_after, RetryAfterSeconds);
+    Response.set(
+        http::field::retry_after,
+        std::to_string(
+            std::max(ShortestRetryAfter,
+                     std::chrono::ceil<std::chrono::seconds>(RetryAfter))
+                .count()));
   return Response;
 }
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/http/exchange.hpp"
 
+#include "pomeloswitch/http/account_admission.hpp"
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 
@@ -63,12 +64,14 @@
     Refusal = Failure;
   }
   if (Refusal)
-    co_await writeError(Refusal->kind(), Refusal->what());
+    co_await writeError(*Refusal);
   co_return CallerKeepAlive;
 }
 
 asio::awaitable<void> exchange::serve() {
   Plan = makePlan();
+  if (Plan.Route.Access == route_access::Account)
+    co_await admitToAccount(Context, Plan.Account, Plan.Deadline);
   co_await continueIfExpected();
   co_await bufferSmallBody();
   bool Answered = false;
@@ -388,13 +391,13 @@
   }
 }
 
-asio::awaitable<void> exchange::writeError(error_kind Kind,
-                                           std::string_view Message) {
+asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   ++Context.Counters.Refused;
-  if (answerFor(Kind).RunState == run_state::Unknown)
+  if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
     ++Context.Counters.OutcomeUnknown;
   text_response Response =
-      makeErrorResponse(Kind, Message, Request.get().version());
+      makeErrorResponse(Refusal.kind(), Refusal.what(), Request.get().version(),
+                        Refusal.retryAfter());
   CallerKeepAlive = CallerKeepAlive && Request.is_done();
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -66,8 +66,7 @@
   boost::asio::awaitable<bool> relayAnswer(upstream_connection &Connection);
   boost::asio::awaitable<void> relayBody(upstream_connection &Connection,
                                          response_stream_parser &Answer);
-  boost::asio::awaitable<void> writeError(error_kind Kind,
-                                          std::string_view Message);
+  boost::asio::awaitable<void> writeError(const pomelo_error &Refusal);
   [[noreturn]] void failAttempt(const std::string &Reason) const;
   [[nodiscard]] bool mayTryAgain(error_kind Kind) const;
 
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_HTTP_TRAFFIC_CONTEXT_HPP
 #define POMELOSWITCH_HTTP_TRAFFIC_CONTEXT_HPP
 
+#include "pomeloswitch/admission/host_quota.hpp"
 #include "pomeloswitch/http/flight_table.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
 #include "pomeloswitch/routing/target_choice.hpp"
@@ -11,6 +12,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -43,12 +45,16 @@
 //! Belongs to one traffic thread; nothing here is locked.
 struct traffic_context {
   traffic_context(boost::asio::io_context &Io, const authority &Authority,
-                  std::string ClusterSecret)
-      : Io(Io), Authority(Authority), ClusterSecret(std::move(ClusterSecret)),
-        Pool(Io.get_executor()), Random(std::random_device()()) {}
+                  host_quota &Quota, std::string ClusterSecret)
+      : Io(Io), Authority(Authority), Quota(Quota),
+        ClusterSecret(std::move(ClusterSecret)), Pool(Io.get_executor()),
+        Random(std::random_device()()) {}
 
   boost::asio::io_context &Io;
   const authority &Authority;
+  host_quota &Quota; //!< Of the entry host.
+  //! Those of Quota that this thread has met.
+  std::map<std::string, account_bucket *, std::less<>> Buckets;
   std::string ClusterSecret;
   std::shared_ptr<const routing_view> View = std::make_shared<routing_view>();
   upstream_pool Pool;
