--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -71,6 +71,11 @@
   --Waiting;
 }
 
+bool account_bucket::decided(time_point Now) const {
+  const std::lock_guard Lock(Mutex);
+  return Decided && Now < ValidUntil;
+}
+
 std::chrono::milliseconds account_bucket::retryAfter() const {
   const std::lock_guard Lock(Mutex);
   if (RatePerSecond <= 0)
@@ -92,6 +97,7 @@
   BurstTotal = Grant.BurstTotal;
   SurplusSeen = Grant.SurplusSeen;
   Exhausted = Grant.Exhausted;
+  Decided = true;
   Unreported = true;
   ValidUntil = Until;
   return Lowered;
@@ -107,7 +113,7 @@
   const std::lock_guard Lock(Mutex);
   update(Now);
   BurstTotal = BurstSpent = BurstReturned = Surplus = SurplusSeen = 0;
-  Exhausted = false;
+  Exhausted = Decided = false;
   if (NewTerm)
     GrantId = 0;
 }
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -32,6 +32,10 @@
   bool beginWait(time_point Now, std::chrono::milliseconds MaxWait);
   void endWait();
 
+  //! Whether the leader has decided what the account gets here. A host that
+  //! newly joined or follows a new leader has to wait for that.
+  [[nodiscard]] bool decided(time_point Now) const;
+
   //! When a refused request may come back.
   [[nodiscard]] std::chrono::milliseconds retryAfter() const;
 
@@ -65,6 +69,7 @@
   double Surplus = 0;     //!< Unused rate given back, requests.
   double SurplusSeen = 0; //!< The part of it that the leader has seen.
   bool Exhausted = false;
+  bool Decided = false;    //!< A grant has come in this epoch.
   bool Unreported = false; //!< A grant has come that no report tells of yet.
   unsigned Waiting = 0;
   demand_meter Demand;
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -17,6 +17,7 @@
 
 //! A heartbeat to the leader and back takes a fraction of this.
 constexpr milliseconds MaxWait{100};
+constexpr milliseconds MaxUndecidedWait{500};
 constexpr milliseconds PollInterval{5};
 
 account_bucket &bucketOf(traffic_context &Context, std::string_view Account) {
@@ -41,15 +42,19 @@
 };
 
 asio::awaitable<bool> awaitTokens(traffic_context &Context,
-                                  account_bucket &Bucket, steady_time GiveUp) {
+                                  account_bucket &Bucket,
+                                  steady_time Deadline) {
   const wait_place Place(Bucket);
   asio::steady_timer Timer(Context.Io);
-  for (auto Now = steady_clock::now(); Now < GiveUp;
-       Now = steady_clock::now()) {
+  auto Now = steady_clock::now();
+  const steady_time GiveUp = std::min(Deadline, Now + MaxWait);
+  const steady_time LastGiveUp = std::min(Deadline, Now + MaxUndecidedWait);
+  while (Now < GiveUp || (Now < LastGiveUp && !Bucket.decided(Now))) {
     Context.Quota.askForMore(Now);
-    Timer.expires_at(std::min(GiveUp, Now + PollInterval));
+    Timer.expires_at(std::min(Deadline, Now + PollInterval));
     co_await Timer.async_wait(asio::use_awaitable);
-    if (Bucket.admitWaiting(steady_clock::now()))
+    Now = steady_clock::now();
+    if (Bucket.admitWaiting(Now))
       co_return true;
   }
   co_return false;
@@ -65,11 +70,13 @@
   if (Bucket.admitArrival(Now))
     co_return;
   if (Bucket.beginWait(Now, MaxWait)) {
-    const bool Admitted = co_await awaitTokens(
-        Context, Bucket, std::min(Deadline, Now + MaxWait));
+    const bool Admitted = co_await awaitTokens(Context, Bucket, Deadline);
     if (Admitted)
       co_return;
   }
+  if (!Bucket.decided(steady_clock::now()))
+    throw pomelo_error(error_kind::NotAuthoritative,
+                       "this entry host has no part of the account's rate");
   throw pomelo_error(
       error_kind::RateExceeded,
       fmt::format("the client account {} is above its rate", Account),
--- a/src/pomeloswitch/http/account_admission.hpp
+++ b/src/pomeloswitch/http/account_admission.hpp
@@ -12,7 +12,8 @@
 
 //! Returns once a request of \p Account may run. Where this host has nothing
 //! left for it, waits a moment for its share or for more tokens.
-//! \throws pomelo_error RateExceeded with the time to come back.
+//! \throws pomelo_error RateExceeded with the time to come back,
+//!         NotAuthoritative if this host has no part of any rate.
 boost::asio::awaitable<void> admitToAccount(traffic_context &Context,
                                             std::string_view Account,
                                             steady_time Deadline);
--- a/tests/admission/fleet_model.hpp
+++ b/tests/admission/fleet_model.hpp
@@ -98,6 +98,7 @@
   static constexpr milliseconds Interval{200};
   static constexpr milliseconds Hurry{5};
   static constexpr milliseconds MaxWait{100};
+  static constexpr milliseconds MaxUndecidedWait{500};
 
   struct host {
     std::unique_ptr<host_quota> Quota;
@@ -209,7 +210,9 @@
     account_bucket &Bucket = Host.Quota->bucket("a");
     while (!Host.Waiting.empty()) {
       const bool Admitted = Bucket.admitWaiting(Now);
-      if (!Admitted && Now - Host.Waiting.front() < MaxWait)
+      const milliseconds Longest =
+          Bucket.decided(Now) ? MaxWait : MaxUndecidedWait;
+      if (!Admitted && Now - Host.Waiting.front() < Longest)
         break;
       Host.Waiting.pop_front();
       Bucket.endWait();
