--- /dev/null
+++ b/tests/admission/quota_rules_test.cpp
@@ -0,0 +1,245 @@
+#include "pomeloswitch/admission/host_quota.hpp"
+#include "pomeloswitch/admission/rate_ledger.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double Rate = 1000;
+constexpr double Burst = 1000;
+
+//! Two registered hosts and a leader; messages are handed over by the tests.
+class quota_rules : public testing::Test {
+protected:
+  quota_rules() {
+    Ledger.startTerm(1, Now);
+    // The leader grants once both have told that they hold nothing.
+    for (unsigned Round = 0; Round < 2; ++Round) {
+      exchange("a", A);
+      exchange("b", B);
+    }
+  }
+
+  std::optional<quota_grant> answer(const std::string &Host,
+                                    const quota_report &Report) {
+    const std::vector<client_account> Accounts{{"acc", Rate, Burst}};
+    return Ledger.answer({Host, 1}, Report, Accounts, Registered, Now);
+  }
+
+  quota_report reportOf(host_quota &Quota) {
+    quota_report Report = Quota.report(Now);
+    Report.Sequence = ++Sequence;
+    return Report;
+  }
+
+  //! One heartbeat and its answer, without delay.
+  void exchange(const std::string &Host, host_quota &Quota) {
+    const quota_report Report = reportOf(Quota);
+    if (const auto Grant = answer(Host, Report))
+      Quota.apply(Report.Sequence, *Grant, Now + Lease, Now);
+  }
+
+  void arrive(host_quota &Quota, unsigned Count) {
+    for (unsigned Number = 0; Number < Count; ++Number)
+      Quota.bucket("acc").admitArrival(Now);
+  }
+
+  //! Lets \p Quota take the whole rate by its demand.
+  void occupy(const std::string &Host, host_quota &Quota) {
+    for (unsigned Round = 0; Round < 10; ++Round) {
+      arrive(Quota, 400);
+      exchange(Host, Quota);
+      Now += milliseconds(100);
+    }
+    arrive(Quota, 400);
+  }
+
+  //! Admits as many requests as \p Quota still has.
+  unsigned drain(host_quota &Quota) {
+    unsigned Count = 0;
+    while (Quota.bucket("acc").admitWaiting(Now))
+      ++Count;
+    return Count;
+  }
+
+  const milliseconds Lease = lease_times().HostLease;
+  const milliseconds Surely = lease_times().surely(Lease);
+  mono_time Now{seconds(1000)};
+  std::uint64_t Sequence = 0;
+  entry_map Registered{{"a", {"a", 1, "d"}}, {"b", {"b", 1, "d"}}};
+  rate_ledger Ledger{lease_times()};
+  host_quota A{[] {}};
+  host_quota B{[] {}};
+};
+
+TEST_F(quota_rules, rate_taken_back_counts_until_the_host_has_acknowledged_it) {
+  occupy("a", A);
+  exchange("a", A);
+  ASSERT_NEAR(A.report(Now).Accounts.at(0).RatePerSecond, Rate, Rate * 0.1);
+  Now += seconds(1);
+  exchange("b", B);
+  arrive(B, 200);
+  // The leader hears that A's demand is gone, but its answer is lost.
+  const quota_report Unanswered = reportOf(A);
+  ASSERT_TRUE(answer("a", Unanswered));
+  exchange("b", B);
+  exchange("b", B);
+  EXPECT_LE(Ledger.find("acc")->leasedRate(), Rate);
+  EXPECT_LE(A.report(Now).Accounts.at(0).RatePerSecond +
+                B.report(Now).Accounts.at(0).RatePerSecond,
+            Rate);
+  exchange("a", A);
+  exchange("a", A);
+  arrive(B, 200);
+  exchange("b", B);
+  EXPECT_GT(B.report(Now).Accounts.at(0).RatePerSecond, Rate * 0.9);
+}
+
+TEST_F(quota_rules, rate_of_a_silent_host_is_free_once_its_lease_surely_ended) {
+  exchange("b", B);
+  occupy("a", A);
+  exchange("a", A);
+  const mono_time Answered = Now;
+  const auto GrantedToB = [&] {
+    arrive(B, 400);
+    exchange("b", B);
+    exchange("b", B);
+    return B.report(Now).Accounts.at(0).RatePerSecond;
+  };
+  Now = Answered + Surely;
+  EXPECT_LT(GrantedToB(), Rate * 0.1);
+  Now = Answered + Surely + milliseconds(1);
+  EXPECT_GT(GrantedToB(), Rate * 0.9);
+}
+
+TEST_F(quota_rules, stored_tokens_never_exceed_the_burst) {
+  for (unsigned Round = 0; Round < 200; ++Round) {
+    Now += milliseconds(50);
+    arrive(A, Round % 60);
+    if (Round % 3 != 0)
+      exchange("a", A);
+    exchange("b", B);
+    ASSERT_LE(Ledger.find("acc")->stored(), Burst + 1e-6);
+  }
+}
+
+TEST_F(quota_rules, host_has_nothing_after_its_lease) {
+  occupy("a", A);
+  exchange("a", A);
+  Now += Lease - milliseconds(1);
+  EXPECT_TRUE(A.bucket("acc").admitWaiting(Now));
+  Now += milliseconds(1);
+  EXPECT_EQ(drain(A), 0U);
+}
+
+TEST_F(quota_rules, restarted_host_begins_with_nothing) {
+  occupy("a", A);
+  host_quota Restarted([] {});
+  EXPECT_EQ(drain(Restarted), 0U);
+}
+
+TEST_F(quota_rules, duplicated_and_late_answers_hand_out_nothing_twice) {
+  exchange("a", A);
+  Now += seconds(1);
+  arrive(A, 100);
+  const quota_report Report = reportOf(A);
+  const quota_grant Grant = *answer("a", Report);
+  A.apply(Report.Sequence, Grant, Now + Lease, Now);
+  const unsigned First = drain(A);
+  EXPECT_GT(First, 10U);
+  A.apply(Report.Sequence, Grant, Now + Lease, Now);
+  A.apply(Report.Sequence - 1, Grant, Now + Lease, Now);
+  EXPECT_EQ(drain(A), 0U);
+  EXPECT_FALSE(answer("a", Report));
+}
+
+TEST_F(quota_rules, new_leader_keeps_what_hosts_hold_and_grants_nothing_more) {
+  occupy("a", A);
+  exchange("a", A);
+  exchange("b", B);
+  rate_ledger Next{lease_times()};
+  Next.startTerm(2, Now);
+  std::swap(Ledger, Next);
+  const double Held = A.report(Now).Accounts.at(0).RatePerSecond;
+  for (unsigned Round = 0; Round < 3; ++Round) {
+    arrive(A, 400);
+    exchange("a", A);
+  }
+  // B has not yet told what it holds.
+  EXPECT_EQ(A.report(Now).Accounts.at(0).RatePerSecond, Held);
+  Now += milliseconds(500);
+  arrive(A, 400);
+  exchange("a", A);
+  EXPECT_EQ(Ledger.find("acc")->leasedRate(), Held);
+  exchange("b", B);
+  exchange("b", B);
+  Now += milliseconds(100);
+  arrive(A, 400);
+  exchange("a", A);
+  EXPECT_TRUE(A.bucket("acc").decided(Now));
+}
+
+TEST_F(quota_rules, new_leader_does_not_wait_for_a_lost_host_for_ever) {
+  occupy("a", A);
+  Ledger.startTerm(2, Now);
+  exchange("a", A);
+  exchange("a", A);
+  EXPECT_FALSE(A.bucket("acc").decided(Now));
+  Now += Surely;
+  exchange("a", A);
+  EXPECT_FALSE(A.bucket("acc").decided(Now));
+  Now += milliseconds(1);
+  arrive(A, 100);
+  exchange("a", A);
+  EXPECT_TRUE(A.bucket("acc").decided(Now));
+}
+
+TEST_F(quota_rules, answer_of_a_leader_that_was_left_is_ignored) {
+  occupy("a", A);
+  const quota_report Report = reportOf(A);
+  const quota_grant Late = *answer("a", Report);
+  Ledger.startTerm(2, Now);
+  exchange("a", A);
+  drain(A);
+  quota_grant More = Late;
+  More.Accounts.at(0).BurstTotal += 500;
+  A.apply(++Sequence, More, Now + Lease, Now);
+  EXPECT_EQ(drain(A), 0U);
+}
+
+TEST_F(quota_rules, unused_rate_on_its_way_back_is_bounded) {
+  occupy("a", A);
+  exchange("a", A);
+  double Depth = A.report(Now).Accounts.at(0).Depth;
+  double Surplus = 0;
+  for (unsigned Round = 0; Round < 6; ++Round) {
+    Now += milliseconds(200);
+    Surplus = A.report(Now).Accounts.at(0).Surplus;
+  }
+  EXPECT_GT(Surplus, 0);
+  EXPECT_LE(Surplus, surplusLimit(Depth) * 2);
+}
+
+TEST_F(quota_rules, removed_account_that_returns_finds_its_leases_counted) {
+  occupy("a", A);
+  exchange("a", A);
+  const quota_report Empty{++Sequence, 1, 0, {}};
+  Ledger.answer({"b", 1}, Empty, {}, Registered, Now);
+  ASSERT_NE(Ledger.find("acc"), nullptr);
+  EXPECT_GT(Ledger.find("acc")->leasedRate(), Rate * 0.9);
+}
+
+TEST_F(quota_rules, retry_time_follows_from_the_rate) {
+  occupy("a", A);
+  exchange("a", A);
+  drain(A);
+  const auto Due = A.bucket("acc").retryAfter();
+  EXPECT_GE(Due, milliseconds(1));
+  EXPECT_LE(Due, milliseconds(3));
+}
+
+} // namespace
+} // namespace pomelo
