Record what became of each request

Cause: the answer to 'why was this refused, why is it there' needs one place that knows route, account, slot, target, attempts and error of a request. Change: request_record continues the trace, counts the outcome by service and account and emits the span of this hop. Shown by: http_test, 4 tests.

--- /dev/null
+++ b/src/pomeloswitch/http/request_record.cpp
@@ -0,0 +1,84 @@
+#include "pomeloswitch/http/request_record.hpp"
+
+#include <fmt/format.h>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::steady_clock;
+using std::chrono::system_clock;
+
+} // namespace
+
+request_record::request_record(std::string_view TraceParent,
+                               std::mt19937_64 &Random)
+    : Incoming(parseTraceParent(TraceParent)), TraceId(Incoming.TraceId),
+      SpanId(fmt::format("{:016x}", Random() | 1)), Start(steady_clock::now()),
+      WallStart(system_clock::now()) {
+  if (TraceId.empty())
+    TraceId = fmt::format("{:016x}{:016x}", Random(), Random() | 1);
+}
+
+std::string request_record::traceParentForTarget() const {
+  return formatTraceParent(TraceId, SpanId, true);
+}
+
+void request_record::routed(std::string_view NewRoute,
+                            std::string_view NewService,
+                            std::string_view NewAccount) {
+  Route = NewRoute;
+  Service = NewService;
+  Account = NewAccount;
+}
+
+void request_record::dispatched(std::string_view NewTarget) {
+  ++Attempts;
+  Target = NewTarget;
+  DispatchedAt = steady_clock::now();
+}
+
+void request_record::answered(metric_set &Metrics) {
+  Metrics.observe("pomelo_upstream_seconds",
+                  {{"service", Service}, {"target", Target}},
+                  steady_clock::now() - DispatchedAt);
+}
+
+std::string_view request_record::outcome() const {
+  return Failure ? answerFor(*Failure).Name : std::string_view("ok");
+}
+
+void request_record::close(metric_set &Metrics, span_sink *Spans) {
+  Metrics.increment("pomelo_requests_total",
+                    {{"account", Account},
+                     {"outcome", std::string(outcome())},
+                     {"service", Service}});
+  Metrics.observe("pomelo_request_seconds", {{"service", Service}},
+                  steady_clock::now() - Start);
+  if (Spans && Spans->enabled())
+    Spans->add(makeSpan());
+}
+
+trace_span request_record::makeSpan() const {
+  trace_span Span;
+  Span.TraceId = TraceId;
+  Span.SpanId = SpanId;
+  Span.ParentSpanId = Incoming.ParentSpanId;
+  Span.Name = "entry";
+  Span.Start = WallStart;
+  Span.End = WallStart + std::chrono::duration_cast<system_clock::duration>(
+                             steady_clock::now() - Start);
+  Span.Attributes = {{"pomelo.route", Route},
+                     {"pomelo.service", Service},
+                     {"pomelo.account", Account},
+                     {"pomelo.target", Target},
+                     {"pomelo.attempts", std::to_string(Attempts)}};
+  if (SlotNumber)
+    Span.Attributes.emplace_back("pomelo.slot", std::to_string(*SlotNumber));
+  if (Failure)
+    Span.Attributes.emplace_back("pomelo.error",
+                                 std::string(answerFor(*Failure).Name));
+  Span.Failed = Failure.has_value();
+  return Span;
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/tests/http/request_record_test.cpp
@@ -0,0 +1,71 @@
+#include "pomeloswitch/http/request_record.hpp"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace pomelo {
+namespace {
+
+constexpr std::string_view Incoming =
+    "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+class request_record_test : public testing::Test {
+protected:
+  std::mt19937_64 Random{42};
+  metric_set Metrics;
+};
+
+TEST_F(request_record_test, the_target_sees_this_hop_as_its_parent) {
+  const request_record Record(Incoming, Random);
+  const auto Outgoing = parseTraceParent(Record.traceParentForTarget());
+  EXPECT_EQ(Outgoing.TraceId, parseTraceParent(Incoming).TraceId);
+  EXPECT_NE(Outgoing.ParentSpanId, parseTraceParent(Incoming).ParentSpanId);
+}
+
+TEST_F(request_record_test, a_trace_begins_where_none_came_in) {
+  const request_record Record("nonsense", Random);
+  EXPECT_FALSE(parseTraceParent(Record.traceParentForTarget()).TraceId.empty());
+}
+
+TEST_F(request_record_test, a_request_is_counted_by_its_outcome) {
+  request_record Answered(Incoming, Random);
+  Answered.routed("read", "archive", "large");
+  Answered.close(Metrics, nullptr);
+  request_record Refused(Incoming, Random);
+  Refused.routed("read", "archive", "large");
+  Refused.failed(error_kind::RateExceeded);
+  Refused.close(Metrics, nullptr);
+  EXPECT_EQ(Metrics.counter("pomelo_requests_total", {{"account", "large"},
+                                                      {"outcome", "ok"},
+                                                      {"service", "archive"}}),
+            1U);
+  EXPECT_EQ(
+      Metrics.counter("pomelo_requests_total", {{"account", "large"},
+                                                {"outcome", "rate_exceeded"},
+                                                {"service", "archive"}}),
+      1U);
+}
+
+TEST_F(request_record_test, the_span_carries_the_decision) {
+  const std::string Path = testing::TempDir() + "request_record_span.jsonl";
+  std::remove(Path.c_str());
+  span_sink Spans("pomelo-entry", "e1", Path);
+  request_record Record(Incoming, Random);
+  Record.routed("read", "archive", "large");
+  Record.slotFound(7);
+  Record.dispatched("archive-1");
+  Record.close(Metrics, &Spans);
+  Spans.flush();
+  std::ifstream File(Path);
+  std::string Line;
+  ASSERT_TRUE(std::getline(File, Line));
+  for (const std::string Expected :
+       {"archive-1", "pomelo.slot", "b7ad6b7169203331"})
+    EXPECT_NE(Line.find(Expected), std::string::npos) << Expected;
+}
+
+} // namespace
+} // namespace pomelo
