Put a fault proxy between the processes of a deployment

Cause: faults of the network could not be provoked, and a restarted process of a deployment came back at another address.

Change: tools/fault_proxy is a TCP proxy with many routes whose faults (cut, block of one or both directions, delay, rate, reset or orderly close after so many bytes, silence of the open connections only) are set at run time, over HTTP or in-process by fault_proxy_thread. A fault can be limited to the connections of one process, found through its socket's inode, because a target announces one address to all entry hosts. A deployment with FaultProxy set routes entry hosts to control hosts, control hosts to each other and entry hosts to targets through it; links().cutDomain(), cutMember() and heal() act on them. Restarted members keep their addresses; free ports are taken below the range of outgoing connections. The builder moved to a file of its own.

Not covered: the proxy completes TCP handshakes also while it blocks a route, so a blocked connect shows as a silent connection, not as a connect timeout.

Seen: an entry host that has no state yet ends with a segmentation fault when a request reaches it; the restart test therefore asks /readyz first, as a balancer does.

--- a/tools/emulator/deployment.cpp
+++ b/tools/emulator/deployment.cpp
@@ -1,9 +1,5 @@
 #include "emulator/deployment.hpp"
 
-#include "pomeloswitch/wire/secret_hash.hpp"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -19,188 +15,32 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::string_view ClusterSecret = "cluster secret for emulation only";
-constexpr std::string_view OperatorCredential = "operator-credential";
 constexpr milliseconds StartTimeout = seconds(20);
 
-std::string program(std::string_view Name) {
-  return fmt::format("{}/{}", POMELO_BINARY_FOLDER, Name);
-}
-
-void writeFile(const std::filesystem::path &Path, std::string_view Text) {
-  std::ofstream(Path) << Text;
-}
-
 std::string readText(const std::filesystem::path &Path) {
   std::ifstream File(Path);
   return {std::istreambuf_iterator<char>(File), {}};
 }
 
-json::array describeControlHosts(const std::vector<std::uint16_t> &Ports) {
-  json::array Hosts;
-  for (std::size_t Number = 0; Number < Ports.size(); ++Number)
-    Hosts.push_back(
-        json::object{{"id", fmt::format("c{}", Number + 1)},
-                     {"address", fmt::format("127.0.0.1:{}", Ports[Number])}});
-  return Hosts;
-}
-
-} // namespace
-
-std::uint16_t freePort() {
-  boost::asio::io_context Io;
-  boost::asio::ip::tcp::acceptor Acceptor(
-      Io, {boost::asio::ip::address_v4::loopback(), 0});
-  return Acceptor.local_endpoint().port();
-}
-
-std::string standardInventory(const std::vector<std::string> &FailureDomains) {
-  json::array Domains;
-  for (const auto &Name : FailureDomains)
-    Domains.push_back(json::object{{"name", Name}, {"region", "r1"}});
-  const std::string Hash = sha256Hex(TargetCredential);
-  return json::serialize(json::object{
-      {"failure_domains", std::move(Domains)},
-      {"services", json::array{json::object{{"name", "archive"},
-                                            {"divided_by_key", true},
-                                            {"key_slots", 64},
-                                            {"announce_sha256", Hash}},
-                               json::object{{"name", "registry"},
-                                            {"announce_sha256", Hash}}}},
-      {"client_accounts", json::array{json::object{{"name", "large"},
-                                                   {"rate_per_s", 5000},
-                                                   {"burst", 5000}},
-                                      json::object{{"name", "small"},
-                                                   {"rate_per_s", 1000},
-                                                   {"burst", 1000}}}}});
-}
-
-std::string standardRules() {
-  const json::object Key{{"from", "path_segment"}, {"segment", 1}};
-  return json::serialize(json::object{
-      {"routes",
-       json::array{json::object{{"name", "report-read"},
-                                {"path_prefix", "/reports/"},
-                                {"methods", json::array{"GET", "HEAD"}},
-                                {"service", "archive"},
-                                {"key", Key},
-                                {"idempotent", true}},
-                   json::object{{"name", "report-write"},
-                                {"path_prefix", "/reports/"},
-                                {"service", "archive"},
-                                {"key", Key}},
-                   json::object{{"name", "certificates"},
-                                {"path_prefix", "/certificates"},
-                                {"service", "registry"},
-                                {"deadline_ms", 20000}},
-                   json::object{{"name", "public"},
-                                {"path_prefix", "/public"},
-                                {"service", "registry"},
-                                {"access", "open"},
-                                {"idempotent", true}}}}});
+void writeFile(const std::filesystem::path &Path, std::string_view Text) {
+  std::ofstream(Path) << Text;
 }
 
-deployment::builder &deployment::builder::withPlan(deployment_plan Value) {
-  Plan = std::move(Value);
-  return *this;
+//! Replaces the settings' addresses by the bound ones, so that a restarted
+//! process is found at the same place.
+void keepAddresses(const member &Member) {
+  json::object Settings =
+      json::parse(readText(Member.SettingsFile)).as_object();
+  for (const auto &Field : Member.Description)
+    if (Field.key().ends_with("_address") && Settings.contains(Field.key()))
+      Settings[Field.key()] = Field.value();
+  writeFile(Member.SettingsFile, json::serialize(Settings));
 }
 
-deployment::builder &
-deployment::builder::withFolder(std::filesystem::path Value) {
-  Folder = std::move(Value);
-  return *this;
-}
+} // namespace
 
-std::unique_ptr<deployment> deployment::builder::build() {
-  std::unique_ptr<deployment> Built(new deployment());
-  Built->KeepFolder = !Folder.empty();
-  Built->Plan = std::move(Plan);
-  if (Folder.empty()) {
-    std::string Pattern =
-        (std::filesystem::temp_directory_path() / "pomelo-XXXXXX").string();
-    if (!mkdtemp(Pattern.data()))
-      throw std::runtime_error("no temporary folder");
-    Folder = Pattern;
-  }
-  std::filesystem::create_directories(Folder);
-  Built->Folder = Folder;
-  writeFile(Folder / "secret", ClusterSecret);
-  writeFile(Folder / "operator-credential", OperatorCredential);
-  const deployment_plan &Chosen = Built->Plan;
-  std::vector<std::uint16_t> Ports;
-  for (unsigned Number = 0; Number < Chosen.ControlHosts; ++Number)
-    Ports.push_back(freePort());
-  const json::array ControlHosts = describeControlHosts(Ports);
-  for (unsigned Number = 0; Number < Chosen.ControlHosts; ++Number) {
-    const std::string Id = fmt::format("c{}", Number + 1);
-    const std::string &Domain =
-        Chosen.FailureDomains[Number % Chosen.FailureDomains.size()];
-    const json::object Settings{
-        {"host_id", Id},
-        {"failure_domain", Domain},
-        {"peer_address", fmt::format("127.0.0.1:{}", Ports[Number])},
-        {"admin_address", "127.0.0.1:0"},
-        {"data_folder", (Folder / (Id + ".data")).string()},
-        {"members", ControlHosts},
-        {"cluster_secret_file", (Folder / "secret").string()},
-        {"operators", json::array{json::object{
-                          {"name", "emulator"},
-                          {"key_sha256", sha256Hex(OperatorCredential)}}}}};
-    const auto File = Folder / (Id + ".json");
-    writeFile(File, json::serialize(Settings));
-    Built->launch(Built->add({Id,
-                              "control",
-                              Domain,
-                              program("apps/pomelo-control"),
-                              {"--settings=" + File.string()},
-                              {},
-                              {},
-                              {},
-                              nullptr}));
-  }
-  for (const auto &Domain : Chosen.FailureDomains)
-    for (unsigned Number = 1; Number <= Chosen.EntryHostsPerDomain; ++Number) {
-      const std::string Id = fmt::format("{}-e{}", Domain, Number);
-      json::object Settings{
-          {"host_id", Id},
-          {"failure_domain", Domain},
-          {"caller_address", "127.0.0.1:0"},
-          {"announce_address", "127.0.0.1:0"},
-          {"ops_address", "127.0.0.1:0"},
-          {"control_hosts", ControlHosts},
-          {"cluster_secret_file", (Folder / "secret").string()}};
-      for (const auto &Field : Chosen.EntrySettings)
-        Settings[Field.key()] = Field.value();
-      const auto File = Folder / (Id + ".json");
-      writeFile(File, json::serialize(Settings));
-      Built->launch(Built->add({Id,
-                                "entry",
-                                Domain,
-                                program("apps/pomelo-entry"),
-                                {"--settings=" + File.string()},
-                                {},
-                                {},
-                                {},
-                                nullptr}));
-    }
-  writeFile(Folder / "inventory.json",
-            Chosen.InventoryJson.empty()
-                ? standardInventory(Chosen.FailureDomains)
-                : Chosen.InventoryJson);
-  writeFile(Folder / "rules.json",
-            Chosen.RulesJson.empty() ? standardRules() : Chosen.RulesJson);
-  for (const std::string Kind : {"inventory", "rules"}) {
-    const auto Outcome =
-        Built->ctl({Kind, "apply", (Folder / (Kind + ".json")).string()});
-    if (Outcome.ExitCode != 0)
-      throw std::runtime_error(Outcome.Output);
-  }
-  for (const target_plan &Target : Chosen.Targets)
-    Built->startTarget(Target);
-  if (!Built->waitServing(StartTimeout))
-    throw std::runtime_error(
-        fmt::format("the deployment in {} does not serve", Folder.string()));
-  return Built;
+std::string program(std::string_view Name) {
+  return fmt::format("{}/{}", POMELO_BINARY_FOLDER, Name);
 }
 
 deployment::~deployment() {
@@ -234,11 +74,15 @@
     throw std::runtime_error(fmt::format("{} did not start: {}", Member.Id,
                                          readText(Member.LogFile)));
   Member.Description = json::parse(readText(Member.ReadyFile)).as_object();
+  if (Links)
+    Links->setProcess(Member.Id, Member.Process->pid());
 }
 
 void deployment::restart(const std::string &Id) {
   member &Member = at(Id);
   Member.Process->kill();
+  if (!Member.SettingsFile.empty())
+    keepAddresses(Member);
   launch(Member);
 }
 
@@ -249,24 +93,28 @@
       Announce +=
           (Announce.empty() ? "" : ",") +
           std::string(Entry->Description.at("announce_address").as_string());
+  const std::string Address = fmt::format("127.0.0.1:{}", freePort());
   std::vector<std::string> Arguments{
       "--id=" + Target.TargetId,
       "--service=" + Target.Service,
       "--domain=" + Target.FailureDomain,
       fmt::format("--credential={}", TargetCredential),
       "--announce=" + Announce,
+      "--address=" + Address,
       "--journal=" + journalOf(Target.TargetId)};
+  if (Links)
+    Arguments.push_back(
+        "--announce-address=" +
+        Links->addTarget(Target.TargetId, Target.FailureDomain, Address));
   Arguments.insert(Arguments.end(), Target.ExtraArguments.begin(),
                    Target.ExtraArguments.end());
-  launch(add({Target.TargetId,
-              "target",
-              Target.FailureDomain,
-              program("tools/standin-target"),
-              std::move(Arguments),
-              {},
-              {},
-              {},
-              nullptr}));
+  member Member;
+  Member.Id = Target.TargetId;
+  Member.Role = "target";
+  Member.FailureDomain = Target.FailureDomain;
+  Member.Program = program("tools/standin-target");
+  Member.Arguments = std::move(Arguments);
+  launch(add(std::move(Member)));
 }
 
 std::vector<member *> deployment::membersOf(const std::string &Role) {
@@ -356,6 +204,12 @@
                      });
 }
 
+fault_links &deployment::links() {
+  if (!Links)
+    throw std::logic_error("the plan has no fault proxy");
+  return *Links;
+}
+
 std::string deployment::journalOf(const std::string &TargetId) const {
   return (Folder / (TargetId + ".journal")).string();
 }
--- a/tools/emulator/deployment.hpp
+++ b/tools/emulator/deployment.hpp
@@ -3,11 +3,14 @@
 #define POMELOSWITCH_TOOLS_EMULATOR_DEPLOYMENT_HPP
 
 #include "emulator/child_process.hpp"
+#include "emulator/fault_links.hpp"
+#include "emulator/free_port.hpp"
 #include "emulator/http_call.hpp"
+#include "emulator/standard_documents.hpp"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include <cstdint>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -33,6 +36,9 @@
   std::string RulesJson;     //!< Empty for standardRules().
   //! Fields merged into every entry host's settings.
   boost::json::object EntrySettings;
+  //! Puts the fault proxy between entry hosts and control hosts, among control
+  //! hosts, and between entry hosts and targets.
+  bool FaultProxy = false;
 };
 
 //! A process of the deployment and what it wrote into its ready file.
@@ -44,6 +50,7 @@
   std::vector<std::string> Arguments;
   std::string LogFile;
   std::string ReadyFile;
+  std::string SettingsFile; //!< Empty for a target.
   boost::json::object Description;
   std::unique_ptr<child_process> Process;
 };
@@ -81,6 +88,10 @@
   //! and every slot has an active owner.
   bool waitServing(std::chrono::milliseconds Timeout);
 
+  //! Faults between the members.
+  //! \throws std::logic_error if the plan has no fault proxy.
+  fault_links &links();
+
   [[nodiscard]] std::string journalOf(const std::string &TargetId) const;
   [[nodiscard]] const std::filesystem::path &folder() const { return Folder; }
   [[nodiscard]] std::string operatorCredentialFile() const;
@@ -95,6 +106,7 @@
   std::filesystem::path Folder;
   bool KeepFolder = false;
   deployment_plan Plan;
+  std::unique_ptr<fault_links> Links; //!< Outlives the members.
   std::map<std::string, std::unique_ptr<member>> Members;
 };
 
@@ -109,24 +121,32 @@
   std::unique_ptr<deployment> build();
 
 private:
+  struct control_address {
+    std::string Id;
+    std::string FailureDomain;
+    std::string Address;
+  };
+
+  void prepareFolder();
+  void planControlHosts();
+  void launchControlHosts();
+  void launchEntryHosts();
+  void applyDocuments();
+  //! The control hosts' addresses as member \p FromId sees them.
+  boost::json::array controlHostsFor(const std::string &FromId,
+                                     const std::string &FromDomain);
+  void launchDaemon(const std::string &Id, const std::string &Role,
+                    const std::string &FailureDomain,
+                    const boost::json::object &Settings);
+
   deployment_plan Plan;
   std::filesystem::path Folder;
+  std::vector<control_address> ControlHosts;
+  std::unique_ptr<deployment> Built;
 };
 
-//! Two services: "archive", divided by key into 64 slots, and "registry", not
-//! divided; accounts "large" and "small" with generous rates.
-std::string standardInventory(const std::vector<std::string> &FailureDomains);
-
-//! Routes of standardInventory(): /reports/KEY (archive; GET is idempotent),
-//! /certificates (registry, not idempotent) and /public (registry, open to
-//! all, idempotent).
-std::string standardRules();
-
-//! The credential that targets of the standard inventory announce with.
-inline constexpr std::string_view TargetCredential = "target-credential";
-
-//! A loopback port that was free a moment ago.
-std::uint16_t freePort();
+//! The path of a program of this build, for instance "apps/pomelo-entry".
+std::string program(std::string_view Name);
 
 } // namespace pomelo::emulator
 
--- /dev/null
+++ b/tools/emulator/fault_links.cpp
@@ -0,0 +1,76 @@
+#include "emulator/fault_links.hpp"
+
+#include <map>
+
+namespace pomelo::emulator {
+namespace {
+
+using fault_proxy::route_faults;
+
+//! The faults of a link whose one end, told by \p FromInside, is cut off.
+route_faults faultsFor(cut_kind Kind, bool FromInside) {
+  route_faults Faults;
+  Faults.Cut = Kind == cut_kind::Reset;
+  const bool Leaving = Kind == cut_kind::Silent || Kind == cut_kind::Outbound;
+  const bool Entering = Kind == cut_kind::Silent || Kind == cut_kind::Inbound;
+  Faults.ToUpstream.Blocked = FromInside ? Leaving : Entering;
+  Faults.ToClient.Blocked = FromInside ? Entering : Leaving;
+  return Faults;
+}
+
+std::string targetRoute(const std::string &TargetId) { return "*>" + TargetId; }
+
+} // namespace
+
+std::string fault_links::addLink(const link_end &From, const link_end &To,
+                                 const std::string &Address) {
+  const std::string Route = From.Id + ">" + To.Id;
+  Links.push_back({From, To, Route, false});
+  return Proxy.addRoute(Route, Address);
+}
+
+std::string fault_links::addTarget(const std::string &TargetId,
+                                   const std::string &FailureDomain,
+                                   const std::string &Address) {
+  const link_end Target{TargetId, FailureDomain};
+  std::map<std::string, link_end> Sources;
+  for (const link &Link : Links)
+    Sources[Link.From.Id] = Link.From;
+  for (const auto &[Id, Source] : Sources)
+    Links.push_back({Source, Target, targetRoute(TargetId), true});
+  return Proxy.addRoute(targetRoute(TargetId), Address);
+}
+
+void fault_links::setProcess(const std::string &Id, pid_t Pid) {
+  Proxy.setSource(Id, Pid);
+}
+
+void fault_links::setFaults(const link &Link, const route_faults &Faults) {
+  if (Link.BySource)
+    Proxy.setFaultsFrom(Link.Route, Link.From.Id, Faults);
+  else
+    Proxy.setFaults(Link.Route, Faults);
+}
+
+template <typename IsInside>
+void fault_links::cut(const IsInside &Inside, cut_kind Kind) {
+  for (const link &Link : Links)
+    if (Inside(Link.From) != Inside(Link.To))
+      setFaults(Link, faultsFor(Kind, Inside(Link.From)));
+}
+
+void fault_links::cutDomain(const std::string &FailureDomain, cut_kind Kind) {
+  cut([&](const link_end &End) { return End.FailureDomain == FailureDomain; },
+      Kind);
+}
+
+void fault_links::cutMember(const std::string &Id, cut_kind Kind) {
+  cut([&](const link_end &End) { return End.Id == Id; }, Kind);
+}
+
+void fault_links::heal() {
+  for (const link &Link : Links)
+    Proxy.clearFaults(Link.Route);
+}
+
+} // namespace pomelo::emulator
--- /dev/null
+++ b/tools/fault_proxy/main.cpp
@@ -0,0 +1,43 @@
+#include "fault_proxy/fault_proxy.hpp"
+#include "pomeloswitch/cli/daemon.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
+
+#include <boost/json.hpp>
+#include <docopt/docopt.h>
+
+using namespace pomelo;
+
+namespace {
+
+constexpr const char *Usage = R"(fault-proxy: a TCP proxy with faults on demand.
+
+Usage:
+  fault-proxy [options]
+  fault-proxy (-h | --help)
+
+Options:
+  --control=ADDRESS  Address of the HTTP control [default: 127.0.0.1:0].
+  --ready-file=FILE  Write the bound control address there, as JSON.
+  -h --help          Show this text.
+)";
+
+int serve(int Argc, char **Argv) {
+  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  boost::asio::io_context Io{1};
+  fault_proxy::proxy Proxy(Io,
+                           parseEndpoint(Arguments.at("--control").asString()));
+  stopOnSignal(Io, [&Io] { Io.stop(); });
+  const auto &ReadyFile = Arguments.at("--ready-file");
+  writeReadyFile(ReadyFile ? ReadyFile.asString() : std::string(),
+                 boost::json::serialize(boost::json::object{
+                     {"role", "fault-proxy"},
+                     {"control_address", toString(Proxy.controlAddress())}}));
+  Io.run();
+  return 0;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return runDaemon("fault-proxy", [=] { return serve(Argc, Argv); });
+}
--- a/tools/standin_target/main.cpp
+++ b/tools/standin_target/main.cpp
@@ -34,7 +34,10 @@
   standin::journal Journal(Options.JournalFile, Options.TargetId);
   standin::target_server Server(Io, Options, Grants, Journal);
   const std::string Address = toString(Server.address());
-  standin::announcer Announcer(Io, Options, Address, Grants);
+  standin::announcer Announcer(
+      Io, Options,
+      Options.AnnouncedAddress.empty() ? Address : Options.AnnouncedAddress,
+      Grants);
   boost::asio::co_spawn(Io, Announcer.run(), boost::asio::detached);
   boost::asio::steady_timer LeaveTimer(Io);
   stopOnSignal(Io, [&] {
--- a/tools/standin_target/target_options.cpp
+++ b/tools/standin_target/target_options.cpp
@@ -21,6 +21,8 @@
   --credential=TEXT     Credential of the service's targets.
   --announce=LIST       Announcement addresses, separated by commas.
   --address=ADDRESS     Address to listen on [default: 127.0.0.1:0].
+  --announce-address=ADDRESS  Address to announce. Default: the one listened
+                        on.
   --slots=N             Requests served at a time [default: 2].
   --connections=N       Connections accepted at a time [default: 130].
   --queue=N             Requests that may wait for a slot [default: 4].
@@ -57,6 +59,7 @@
   Options.Credential = Text("--credential");
   Options.AnnounceAddresses = splitList(Text("--announce"));
   Options.Address = Text("--address");
+  Options.AnnouncedAddress = Text("--announce-address");
   Options.Slots = Number("--slots");
   Options.Connections = Number("--connections");
   Options.QueueLength = Number("--queue");
--- a/tools/standin_target/target_options.hpp
+++ b/tools/standin_target/target_options.hpp
@@ -15,7 +15,8 @@
   std::string FailureDomain;
   std::string Credential;
   std::vector<std::string> AnnounceAddresses;
-  std::string Address; //!< IP:port to listen on; port 0 for any.
+  std::string Address;          //!< IP:port to listen on; port 0 for any.
+  std::string AnnouncedAddress; //!< Empty for the one listened on.
   std::uint32_t Slots = 2;
   std::uint32_t Connections = 130;
   std::uint32_t QueueLength = 4; //!< Requests that wait for a slot.
