Send only to owners that still hold the slot; count unanswered requests

Cause: a request found its owner, waited for a connection, and was then sent without a second look. If the slot was revoked, reported quiesced and granted anew during that wait, a target that does not check the fence ran work of another owner. Also, a request whose connection broke no longer counted as in flight although a frozen target may still run it.

Ruled out: holding the flight from the moment the owner is found; it would keep a revocation waiting for requests that have not been sent.

Change: the check right before the first byte compares slot token, phase and target incarnation with the view in force.

--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -58,7 +58,8 @@
 }
 
 void traffic_thread::updateQuiesced() {
-  Quiesced.store(Context.Flights.quiescedIndex(*Context.View),
+  Quiesced.store(Context.Flights.quiescedIndex(
+                     *Context.View, std::chrono::steady_clock::now()),
                  std::memory_order_release);
 }
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -147,6 +147,7 @@
   ++Attempts;
   Progress = attempt_progress::NothingSent;
   std::optional<pomelo_error> Failure;
+  flight_table::flight Flight;
   try {
     slot_owner Owner;
     if (Plan.Key)
@@ -157,21 +158,24 @@
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
     auto Connection =
         co_await Context.Pool.acquire(*Owner.Target, Need, Plan.Deadline);
-    flight_table::flight Flight;
     if (Plan.Key)
-      Flight = flight_table::flight(Context.Flights, Plan.Route.Service,
-                                    Owner.Slot, Owner.Token);
+      Flight = flight_table::flight(
+          Context.Flights, Plan.Route.Service, Owner.Slot, Owner.Token,
+          {!Owner.Target->Member.ChecksFence, Plan.Deadline});
     const request_header Header = dispatchHeader(Owner);
-    checkMayDispatch();
+    checkMayDispatch(Owner);
     Connection->Stream.expires_at(Plan.Deadline);
     co_await sendRequest(*Connection, Header);
     const bool Reusable = co_await relayAnswer(*Connection);
+    Flight.settled();
     if (Reusable)
       Connection.keep();
     co_return true;
   } catch (const pomelo_error &Caught) {
     Failure = Caught;
   }
+  if (Progress == attempt_progress::NothingSent)
+    Flight.settled();
   if (!mayTryAgain(Failure->kind()))
     throw pomelo_error(*Failure);
   co_return false;
@@ -218,7 +222,7 @@
 
 //! The last check before the first byte goes out: a process that was paused
 //! must not send under a right that has run out.
-void exchange::checkMayDispatch() const {
+void exchange::checkMayDispatch(const slot_owner &Owner) const {
   const auto Now = steady_clock::now();
   if (Now >= Plan.Deadline)
     throw pomelo_error(error_kind::DeadlineExceeded,
@@ -229,6 +233,10 @@
   if (Now >= Until)
     throw pomelo_error(error_kind::NotAuthoritative,
                        "this entry host has lost touch with the control group");
+  // Waiting for a connection may have outlived the view that named the target.
+  if (!mayStillSend(*Context.View, Plan.Route.Service, Owner))
+    throw pomelo_error(error_kind::UpstreamFailed,
+                       "the target gave up this work before it was sent");
 }
 
 request_header exchange::dispatchHeader(const slot_owner &Owner) {
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -57,7 +57,7 @@
   boost::asio::awaitable<bool> attempt();
   boost::asio::awaitable<slot_owner> awaitOwner();
   routing_target_ptr chooseTarget();
-  void checkMayDispatch() const;
+  void checkMayDispatch(const slot_owner &Owner) const;
   request_header dispatchHeader(const slot_owner &Owner);
   boost::asio::awaitable<void> sendRequest(upstream_connection &Connection,
                                            const request_header &Header);
--- a/src/pomeloswitch/routing/target_choice.cpp
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -21,6 +21,21 @@
   return Owner;
 }
 
+bool mayStillSend(const routing_view &View, std::string_view ServiceName,
+                  const slot_owner &Owner) {
+  const auto Target = View.Targets.find(Owner.Target->Member.TargetId);
+  if (Target == View.Targets.end() ||
+      Target->second->Member.Incarnation != Owner.Target->Member.Incarnation)
+    return false;
+  const routing_service *Service = View.findService(ServiceName);
+  if (!Service || !Service->Slots)
+    return Target->second->AcceptsNewWork;
+  if (Owner.Slot >= Service->Slots->size())
+    return false;
+  const owned_slot &Slot = (*Service->Slots)[Owner.Slot];
+  return Slot.Token == Owner.Token && Slot.Phase == slot_phase::Active;
+}
+
 routing_target_ptr chooseOfTwo(const routing_service &Service,
                                std::span<const std::string> Excluded,
                                const load_estimate &Load,
--- a/src/pomeloswitch/routing/target_choice.hpp
+++ b/src/pomeloswitch/routing/target_choice.hpp
@@ -26,6 +26,11 @@
 slot_owner findOwner(const routing_view &View, const routing_service &Service,
                      std::string_view Key);
 
+//! Whether a request for \p Owner, which an earlier view named, may still be
+//! sent: its slot has not passed on and its target still takes new work.
+bool mayStillSend(const routing_view &View, std::string_view ServiceName,
+                  const slot_owner &Owner);
+
 //! How loaded a target looks from this host; lower is better.
 using load_estimate = std::function<double(const routing_target &)>;
 
--- a/src/pomeloswitch/state/slot_table.hpp
+++ b/src/pomeloswitch/state/slot_table.hpp
@@ -22,6 +22,8 @@
   std::uint64_t Token = 0; //!< Fencing token of the last grant.
   slot_phase Phase = slot_phase::Unowned;
   std::uint64_t ChangedIndex = 0; //!< Log index of the last change of phase.
+  std::uint64_t OwnerIncarnation = 0;
+  bool OwnerChecks = false; //!< Whether the owner checks the fence.
 };
 
 using slot_table = std::vector<owned_slot>;
