Close holes in leases, membership and slot hand-over

Ruled out: counting a newer target incarnation at the same address as proof that the old one is dead, which would save one lease time at a restart: an address can pass to another machine while the first is only paused.

Change: incarnations only grow and a successor is heard once its predecessor's lease ran out; the state carries the longest deadline and isolation ever in force and which hosts were replaced; slots carry their owner's incarnation and whether it checks the fence; safe slots without a successor are released; a grant names the slot's last change; the lease is posted to each traffic thread behind the view. Hand-over from an owner that checks the fence no longer waits for lost entry hosts.

The order of view and lease on a traffic thread has no test of its own.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/control/control_host.hpp"
 
 #include "pomeloswitch/membership/member_planner.hpp"
+#include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <boost/json.hpp>
@@ -177,7 +178,7 @@
   Host.QuiescedIndex = Beat.quiesced_index();
   Host.Stopping = Beat.stopping();
   Host.HeardAt = Now;
-  if (!Leases.hostHeard(std::move(Host)))
+  if (!Leases.hostHeard(std::move(Host), Log->commitIndex()))
     return;
   // Only a member's lease is waited for when slots move, so only a member
   // gets one.
@@ -202,8 +203,8 @@
     Target.TakenIndex = Report.taken_index();
     Target.SettledIndex = Report.settled_index();
     Target.HeardAt = Now;
-    Leases.targetHeard(Target);
-    Ack->add_targets(Joined.target_id());
+    if (Leases.targetHeard(Target, Log->commitIndex()))
+      Ack->add_targets(reportId(Joined));
   }
   Link->send(Answer);
 }
@@ -276,6 +277,7 @@
   if (!Log->leadershipConfirmed() || PlannedInFlight > 0)
     return;
   const mono_time Now = steady_clock::now();
+  Leases.forgetExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
   std::vector<wire::command> Moves = Planner.plan(State, Leases, Now);
   std::move(Moves.begin(), Moves.end(), std::back_inserter(Commands));
--- a/src/pomeloswitch/entry/announce_api.cpp
+++ b/src/pomeloswitch/entry/announce_api.cpp
@@ -3,6 +3,7 @@
 #include "pomeloswitch/entry/control_session.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/settings/common_settings.hpp"
+#include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -58,7 +59,7 @@
   const wire::target_report Report = parse(Request);
   auto Wait = std::make_shared<waiting>(Io);
   Wait->Timer.expires_after(RecordTimeout);
-  const auto Place = Waiting.emplace(Report.target().target_id(), Wait);
+  const auto Place = Waiting.emplace(reportId(Report.target()), Wait);
   Wait->Sequence = Session.report(Report);
   boost::system::error_code Ignored;
   co_await Wait->Timer.async_wait(
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/entry/control_session.hpp"
 
+#include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <algorithm>
@@ -25,10 +26,9 @@
 
 control_session::control_session(boost::asio::io_context &Io,
                                  const entry_settings &Settings,
-                                 std::uint64_t Incarnation,
-                                 authority &Authority, callbacks Callbacks)
+                                 std::uint64_t Incarnation, callbacks Callbacks)
     : Io(Io), Settings(Settings), Incarnation(Incarnation),
-      Authority(Authority), Callbacks(std::move(Callbacks)), BeatTimer(Io) {
+      Callbacks(std::move(Callbacks)), BeatTimer(Io) {
   for (const host_address &Address : Settings.ControlHosts) {
     auto Host = std::make_unique<control_host>();
     Host->Id = Address.Id;
@@ -153,11 +153,11 @@
 //! when the leader granted it.
 void control_session::grantAuthority() {
   if (State.index() >= LeaseIndex)
-    Authority.extendTo(LeaseUntil);
+    Callbacks.OnLease(LeaseUntil);
 }
 
 std::uint64_t control_session::report(const wire::target_report &Report) {
-  Reports[Report.target().target_id()] =
+  Reports[reportId(Report.target())] =
       std::make_unique<wire::target_report>(Report);
   hurry();
   return NextSequence;
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -35,13 +35,14 @@
     std::function<void(const cluster_state &)> OnState;
     //! The lowest quiesced index of all traffic threads.
     std::function<std::uint64_t()> QuiescedIndex;
+    //! The host may route until then by the state given last.
+    std::function<void(steady_time Until)> OnLease;
     //! A heartbeat's reports have been recorded by the leader.
     std::function<void(const wire::heartbeat_ack &)> OnAck;
   };
 
   control_session(boost::asio::io_context &Io, const entry_settings &Settings,
-                  std::uint64_t Incarnation, authority &Authority,
-                  callbacks Callbacks);
+                  std::uint64_t Incarnation, callbacks Callbacks);
   ~control_session();
 
   void start();
@@ -73,7 +74,6 @@
   boost::asio::io_context &Io;
   const entry_settings &Settings;
   std::uint64_t Incarnation;
-  authority &Authority;
   callbacks Callbacks;
   part_log Log{"entry.control"};
   cluster_state State;
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -47,16 +47,21 @@
   control_session::callbacks Callbacks;
   Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
   Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
+  Callbacks.OnLease = [this](steady_time Until) {
+    Authority.extendTo(Until);
+    for (const auto &Thread : Threads)
+      Thread->extendAuthority(Until);
+  };
   Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
     Announcements->onAck(Ack);
   };
   Session = std::make_unique<control_session>(
-      Io, Settings, currentIncarnation(), Authority, std::move(Callbacks));
+      Io, Settings, currentIncarnation(), std::move(Callbacks));
   Announcements = std::make_unique<announce_api>(Io, *Session);
   auto CallerAddress = parseEndpoint(Settings.CallerAddress);
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
-        Authority, Settings.ClusterSecret, CallerAddress,
+        Settings.ClusterSecret, CallerAddress,
         Settings.MaxCallerConnections / Settings.TrafficThreads));
     CallerAddress = Threads.front()->address();
   }
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,8 +11,7 @@
 
 } // namespace
 
-traffic_thread::traffic_thread(const authority &Authority,
-                               const std::string &ClusterSecret,
+traffic_thread::traffic_thread(const std::string &ClusterSecret,
                                const boost::asio::ip::tcp::endpoint &Address,
                                std::size_t MaxConnections)
     : Work(boost::asio::make_work_guard(Io)),
@@ -38,6 +37,10 @@
   });
 }
 
+void traffic_thread::extendAuthority(steady_time Until) {
+  boost::asio::post(Io, [this, Until] { Authority.extendTo(Until); });
+}
+
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
   boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
     Context.Stopping = true;
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -19,7 +19,7 @@
 
 class traffic_thread {
 public:
-  traffic_thread(const authority &Authority, const std::string &ClusterSecret,
+  traffic_thread(const std::string &ClusterSecret,
                  const boost::asio::ip::tcp::endpoint &Address,
                  std::size_t MaxConnections);
   ~traffic_thread();
@@ -29,6 +29,10 @@
   //! Any thread: routes by \p View from now on.
   void adopt(std::shared_ptr<const routing_view> View);
 
+  //! Any thread: may route until then. Takes effect after every view that was
+  //! adopted before, so the right never comes with an older view.
+  void extendAuthority(steady_time Until);
+
   //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
   //! once the last open request has been answered.
   void beginStop(std::function<void()> OnIdle);
@@ -52,6 +56,7 @@
 
   boost::asio::io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  authority Authority;
   traffic_context Context;
   caller_server Server;
   boost::asio::steady_timer Ticker;
--- a/src/pomeloswitch/membership/lease_table.hpp
+++ b/src/pomeloswitch/membership/lease_table.hpp
@@ -61,9 +61,17 @@
   void startTerm(const cluster_state &State, mono_time Now);
 
   //! Records a heartbeat. A new incarnation is refused, and false returned,
-  //! while the lease of the one before may still run.
-  bool hostHeard(host_status Status);
-  void targetHeard(const target_status &Status);
+  //! while the lease of the one before may still run; an older one always.
+  //! The indexes are taken no further than \p CommitIndex, nor the quiesced
+  //! one further than the applied one.
+  bool hostHeard(host_status Status, std::uint64_t CommitIndex);
+  //! Records an announcement, by the same rule for incarnations.
+  bool targetHeard(const target_status &Status, std::uint64_t CommitIndex);
+
+  //! When the member was last heard; members that joined by an entry of an
+  //! earlier term count from the beginning of this one.
+  [[nodiscard]] mono_time hostHeardAt(std::string_view HostId) const;
+  [[nodiscard]] mono_time targetHeardAt(std::string_view TargetId) const;
 
   [[nodiscard]] bool hostExpired(std::string_view HostId, mono_time Now) const;
   [[nodiscard]] bool targetExpired(std::string_view TargetId,
@@ -87,13 +95,20 @@
   targets() const {
     return Targets;
   }
-  void forgetHost(std::string_view HostId);
-  void forgetTarget(std::string_view TargetId);
+  //! Drops the records of members that are gone and not heard any more.
+  void forgetExpired(const cluster_state &State, mono_time Now);
+
+  //! Whether what earlier incarnations of the host sent, each request allowed
+  //! \p InFlight, has surely met its deadline.
+  [[nodiscard]] bool predecessorEnded(std::string_view HostId,
+                                      milliseconds InFlight,
+                                      mono_time Now) const;
 
   [[nodiscard]] const lease_times &times() const { return Times; }
 
 private:
   lease_times Times;
+  mono_time TermStartedAt{};
   std::map<std::string, host_status, std::less<>> Hosts;
   std::map<std::string, target_status, std::less<>> Targets;
 };
--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -2,6 +2,8 @@
 
 #include "pomeloswitch_wire/inner.pb.h"
 
+#include <algorithm>
+
 namespace pomelo {
 namespace {
 
@@ -36,6 +38,14 @@
   return Command;
 }
 
+wire::command settleHost(const entry_member &Member) {
+  wire::command Command;
+  auto *Settled = Command.mutable_host_settled();
+  Settled->set_host_id(Member.HostId);
+  Settled->set_incarnation(Member.Incarnation);
+  return Command;
+}
+
 wire::command loseTarget(const target_member &Member) {
   wire::command Command;
   auto *Left = Command.mutable_target_left();
@@ -52,6 +62,23 @@
   return Command;
 }
 
+//! The longest that a request sent by any host may run.
+milliseconds longestInFlight(const cluster_state &State) {
+  std::uint32_t Longest = 0;
+  for (const service &Service : State.inventoryPart()->Services)
+    Longest = std::max(Longest, State.longestDeadlineMs(Service.Name));
+  return milliseconds(Longest);
+}
+
+//! How long after its last heartbeat a host is still to be reckoned with: its
+//! requests may run, and routes open to all may be served in isolation.
+milliseconds forgottenAfter(const cluster_state &State,
+                            const lease_times &Times) {
+  const auto Served = std::max(longestInFlight(State),
+                               milliseconds(State.longestIsolationMs()));
+  return Times.surely(std::max(Times.HostForgotten, Times.HostLease + Served));
+}
+
 void planHosts(const cluster_state &State, const lease_table &Leases,
                mono_time Now, std::vector<wire::command> &Commands) {
   for (const auto &[Id, Status] : Leases.hosts()) {
@@ -62,11 +89,13 @@
     if (!Known && !Leases.hostExpired(Id, Now))
       Commands.push_back(joinHost(Status.Announced));
   }
-  const lease_times &Times = Leases.times();
+  const milliseconds Forgotten = forgottenAfter(State, Leases.times());
+  const milliseconds InFlight = longestInFlight(State);
   for (const auto &[Id, Member] : State.entryHosts()) {
-    const host_status *Status = Leases.findHost(Id);
-    if (!Status || Now - Status->HeardAt > Times.surely(Times.HostForgotten))
+    if (Now - Leases.hostHeardAt(Id) > Forgotten)
       Commands.push_back(loseHost(Member));
+    else if (Member.Replaced && Leases.predecessorEnded(Id, InFlight, Now))
+      Commands.push_back(settleHost(Member));
   }
 }
 
@@ -77,7 +106,7 @@
   const auto Member = State.targets().find(Announced.TargetId);
   if (Member == State.targets().end() ||
       Member->second.Incarnation != Announced.Incarnation) {
-    if (!Announced.Leaving)
+    if (!Announced.Leaving && State.mayJoin(Announced))
       Commands.push_back(joinTarget(Announced));
     return;
   }
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -68,60 +68,58 @@
     return Least == Candidates.end() ? nullptr : &*Least;
   }
 
-  //! Whether the last owner of a revoked slot starts no more work on it.
-  bool ownerLetGo(const owned_slot &Slot) const {
+  //! Whether the last owner of a revoked slot starts no more work on it. An
+  //! owner that checks the fence refuses it by itself; towards any other, the
+  //! entry hosts must have stopped and what they sent must have ended.
+  bool handoverSafe(const owned_slot &Slot) const {
+    return Slot.OwnerChecks ? checkingOwnerLetGo(Slot)
+                            : Leases.quiesced(State, Slot.ChangedIndex,
+                                              longestDeadline(), Now);
+  }
+
+  //! The member of an id is replaced or dropped only after its lease ran out.
+  bool checkingOwnerLetGo(const owned_slot &Slot) const {
     const auto Owner = State.targets().find(Slot.Owner);
-    if (Owner == State.targets().end() || !Owner->second.ChecksFence)
+    if (Owner == State.targets().end() ||
+        Owner->second.Incarnation != Slot.OwnerIncarnation)
       return true;
     if (Leases.targetExpired(Slot.Owner, Now))
       return true;
     const target_status *Status = Leases.findTarget(Slot.Owner);
-    return Status && Status->SettledIndex >= Slot.ChangedIndex;
+    return Status && Status->Announced.Incarnation == Slot.OwnerIncarnation &&
+           Status->SettledIndex >= Slot.ChangedIndex;
   }
 
-  bool handoverSafe(const owned_slot &Slot) const {
-    return ownerLetGo(Slot) &&
-           Leases.quiesced(State, Slot.ChangedIndex, longestDeadline(), Now);
-  }
-
-  //! The longest that a request of this service may be in flight.
   milliseconds longestDeadline() const {
-    std::uint32_t Longest = 0;
-    for (const route &Route : State.rulesPart()->Routes)
-      if (Route.Service == Service.Name)
-        Longest = std::max(Longest, Route.DeadlineMs);
-    return milliseconds(Longest);
+    return milliseconds(State.longestDeadlineMs(Service.Name));
   }
 
-  void grant(std::uint32_t Number) {
+  void grant(std::uint32_t Number, const owned_slot &Slot) {
     candidate *Owner = leastLoaded();
-    if (!Owner)
+    if (!Owner && Slot.Phase == slot_phase::Unowned)
       return;
-    ++Owner->Held;
     auto *Grant = Grants.add_grants();
     Grant->set_slot(Number);
+    Grant->set_since_index(Slot.ChangedIndex);
+    if (!Owner)
+      return;
+    ++Owner->Held;
     Grant->set_target_id(Owner->Target->TargetId);
   }
 
+  //! An owner that is going loses its slots also where no other can take them:
+  //! it must get no new work.
   void planSlots() {
     for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const owned_slot &Slot = (*Table)[Number];
       if (Slot.Phase == slot_phase::Unowned ||
           (Slot.Phase == slot_phase::Revoking && handoverSafe(Slot)))
-        grant(Number);
+        grant(Number, Slot);
       else if (Slot.Phase != slot_phase::Revoking && !findCandidate(Slot.Owner))
-        planEvacuation(Number, Slot);
+        Revokes.add_slots(Number);
     }
   }
 
-  //! A slot leaves an owner that is going only while another can take it.
-  void planEvacuation(std::uint32_t Number, const owned_slot &Slot) {
-    if (Candidates.empty() && State.targets().contains(Slot.Owner) &&
-        !State.takenOut(State.targets().at(Slot.Owner)))
-      return;
-    Revokes.add_slots(Number);
-  }
-
   void planBalance() {
     if (Candidates.size() < 2 || Grants.grants_size() > 0 ||
         Revokes.slots_size() > 0)
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -83,10 +83,13 @@
 
 void cluster_state::applyMembership(const command &Command) {
   switch (Command.body_case()) {
-  case command::kHostJoined: {
-    const auto &Joined = Command.host_joined();
-    EntryHosts[Joined.host_id()] = {Joined.host_id(), Joined.incarnation(),
-                                    Joined.failure_domain()};
+  case command::kHostJoined:
+    return joinHost(Command.host_joined());
+  case command::kHostSettled: {
+    const auto Found = EntryHosts.find(Command.host_settled().host_id());
+    if (Found != EntryHosts.end() &&
+        Found->second.Incarnation == Command.host_settled().incarnation())
+      Found->second.Replaced = false;
     return;
   }
   case command::kHostLeft: {
@@ -96,17 +99,8 @@
       EntryHosts.erase(Found);
     return;
   }
-  case command::kTargetJoined: {
-    auto Member = toMember(Command.target_joined());
-    Member.JoinedMs = TimeMs;
-    auto Changed = std::make_shared<target_map>(*Targets);
-    const auto Found = Changed->find(Member.TargetId);
-    if (Found != Changed->end())
-      releaseSlotsOf(Found->second);
-    (*Changed)[Member.TargetId] = std::move(Member);
-    Targets = std::move(Changed);
-    return;
-  }
+  case command::kTargetJoined:
+    return joinTarget(Command.target_joined());
   case command::kTargetLeaving: {
     const auto &Leaving = Command.target_leaving();
     auto Changed = std::make_shared<target_map>(*Targets);
@@ -135,6 +129,44 @@
   }
 }
 
+void cluster_state::joinHost(const wire::host_joined &Joined) {
+  const auto Found = EntryHosts.find(Joined.host_id());
+  const bool Known = Found != EntryHosts.end();
+  if (Known && Found->second.Incarnation >= Joined.incarnation())
+    return;
+  EntryHosts[Joined.host_id()] = {Joined.host_id(), Joined.incarnation(),
+                                  Joined.failure_domain(), Known};
+}
+
+void cluster_state::joinTarget(const wire::target_joined &Joined) {
+  auto Member = toMember(Joined);
+  if (!mayJoin(Member))
+    return;
+  Member.JoinedMs = TimeMs;
+  auto Changed = std::make_shared<target_map>(*Targets);
+  const auto Found = Changed->find(Member.TargetId);
+  if (Found != Changed->end())
+    releaseSlotsOf(Found->second);
+  (*Changed)[Member.TargetId] = std::move(Member);
+  Targets = std::move(Changed);
+}
+
+bool cluster_state::mayJoin(const target_member &Announced) const {
+  const auto Same = Targets->find(Announced.TargetId);
+  if (Same != Targets->end() &&
+      Same->second.Incarnation >= Announced.Incarnation)
+    return false;
+  std::size_t OfService = 0;
+  for (const auto &[Id, Member] : *Targets) {
+    if (Id == Announced.TargetId)
+      continue;
+    if (Member.Address == Announced.Address)
+      return false;
+    OfService += Member.Service == Announced.Service ? 1 : 0;
+  }
+  return OfService < MaxTargetsPerService;
+}
+
 //! A target that is gone or back as a new incarnation starts no more work as
 //! the old one; its slots are revoked like any other so that what is in flight
 //! ends before the next grant.
@@ -165,23 +197,8 @@
     }
     return;
   }
-  case command::kGrantSlots: {
-    auto &Table = mutableSlots(Command.grant_slots().service());
-    for (const auto &Grant : Command.grant_slots().grants()) {
-      const auto Target = Targets->find(Grant.target_id());
-      if (Grant.slot() >= Table.size() || Target == Targets->end())
-        continue;
-      owned_slot &Slot = Table[Grant.slot()];
-      if (Slot.Phase != slot_phase::Unowned &&
-          Slot.Phase != slot_phase::Revoking)
-        continue;
-      Slot = {Grant.target_id(), NextToken++,
-              Target->second.ChecksFence ? slot_phase::Granted
-                                         : slot_phase::Active,
-              Index};
-    }
-    return;
-  }
+  case command::kGrantSlots:
+    return grantSlots(Command.grant_slots());
   case command::kActivateSlots: {
     const auto &Activate = Command.activate_slots();
     for (owned_slot &Slot : mutableSlots(Activate.service()))
@@ -196,6 +213,48 @@
   }
 }
 
+//! A grant counts only for the slot as its planner saw it: what was proved safe
+//! for one revocation proves nothing for a later one.
+void cluster_state::grantSlots(const wire::grant_slots &Grants) {
+  auto &Table = mutableSlots(Grants.service());
+  for (const auto &Grant : Grants.grants()) {
+    if (Grant.slot() >= Table.size())
+      continue;
+    owned_slot &Slot = Table[Grant.slot()];
+    const bool Free =
+        Slot.Phase == slot_phase::Unowned || Slot.Phase == slot_phase::Revoking;
+    if (!Free || Slot.ChangedIndex != Grant.since_index())
+      continue;
+    if (Grant.target_id().empty()) {
+      Slot = {{}, Slot.Token, slot_phase::Unowned, Index};
+      continue;
+    }
+    const auto Target = Targets->find(Grant.target_id());
+    if (Target == Targets->end())
+      continue;
+    const bool Checks = Target->second.ChecksFence;
+    Slot = {Grant.target_id(),
+            NextToken++,
+            Checks ? slot_phase::Granted : slot_phase::Active,
+            Index,
+            Target->second.Incarnation,
+            Checks};
+  }
+}
+
+void cluster_state::noteLimitsOf(const rules &Changed) {
+  for (const route &Route : Changed.Routes) {
+    std::uint32_t &Longest = LongestDeadlines[Route.Service];
+    Longest = std::max(Longest, Route.DeadlineMs);
+  }
+  LongestIsolationMs = std::max(LongestIsolationMs, Changed.OpenIsolationMs);
+}
+
+std::uint32_t cluster_state::longestDeadlineMs(std::string_view Service) const {
+  const auto Found = LongestDeadlines.find(Service);
+  return Found == LongestDeadlines.end() ? 0 : Found->second;
+}
+
 void cluster_state::fitSlotTables() {
   std::erase_if(Slots, [this](const auto &Entry) {
     const service *Service = Inventory->findService(Entry.first);
@@ -264,8 +323,16 @@
     Snapshot.add_domains_out(Name);
   for (const auto &Name : TargetsOut)
     Snapshot.add_targets_out(Name);
+  Snapshot.set_longest_isolation_ms(LongestIsolationMs);
+  for (const auto &[Service, Longest] : LongestDeadlines) {
+    auto *Record = Snapshot.add_deadlines();
+    Record->set_service(Service);
+    Record->set_longest_ms(Longest);
+  }
   for (const auto &[Id, Host] : EntryHosts) {
-    auto *Joined = Snapshot.add_hosts()->mutable_host();
+    auto *Record = Snapshot.add_hosts();
+    Record->set_replaced(Host.Replaced);
+    auto *Joined = Record->mutable_host();
     Joined->set_host_id(Id);
     Joined->set_incarnation(Host.Incarnation);
     Joined->set_failure_domain(Host.FailureDomain);
@@ -285,6 +352,8 @@
       Out->set_token(Slot.Token);
       Out->set_phase(static_cast<std::uint32_t>(Slot.Phase));
       Out->set_changed_index(Slot.ChangedIndex);
+      Out->set_owner_incarnation(Slot.OwnerIncarnation);
+      Out->set_owner_checks(Slot.OwnerChecks);
     }
   }
   for (const auto &Id : OperationOrder) {
@@ -332,7 +401,10 @@
   for (const auto &Record : Snapshot.hosts())
     State.EntryHosts[Record.host().host_id()] = {
         Record.host().host_id(), Record.host().incarnation(),
-        Record.host().failure_domain()};
+        Record.host().failure_domain(), Record.replaced()};
+  State.LongestIsolationMs = Snapshot.longest_isolation_ms();
+  for (const auto &Record : Snapshot.deadlines())
+    State.LongestDeadlines[Record.service()] = Record.longest_ms();
   auto Targets = std::make_shared<target_map>();
   for (const auto &Record : Snapshot.targets()) {
     target_member Member = toMember(Record.target());
@@ -346,7 +418,8 @@
     for (const auto &Slot : Record.slots())
       Table->push_back({Slot.owner(), Slot.token(),
                         static_cast<slot_phase>(Slot.phase()),
-                        Slot.changed_index()});
+                        Slot.changed_index(), Slot.owner_incarnation(),
+                        Slot.owner_checks()});
     State.Slots[Record.service()] = std::move(Table);
   }
   for (const auto &Record : Snapshot.operations()) {
--- a/src/pomeloswitch/state/cluster_state.hpp
+++ b/src/pomeloswitch/state/cluster_state.hpp
@@ -22,7 +22,10 @@
 
 namespace pomelo::wire {
 class command;
+class grant_slots;
+class host_joined;
 class state_snapshot;
+class target_joined;
 } // namespace pomelo::wire
 
 namespace pomelo {
@@ -46,8 +49,14 @@
   std::string HostId;
   std::uint64_t Incarnation = 0;
   std::string FailureDomain;
+  //! Requests that an earlier incarnation sent may still run.
+  bool Replaced = false;
 };
 
+//! Targets of one service that may be members at a time; bounds what forged
+//! announcements can use up.
+inline constexpr std::size_t MaxTargetsPerService = 4096;
+
 struct target_member {
   std::string TargetId;
   std::uint64_t Incarnation = 0;
@@ -109,6 +118,18 @@
   [[nodiscard]] const name_set &domainsOut() const { return DomainsOut; }
   [[nodiscard]] const name_set &targetsOut() const { return TargetsOut; }
 
+  //! The longest deadline, ms, that requests of the service were ever given.
+  //! It never shrinks: a lost host may still run requests under older rules.
+  [[nodiscard]] std::uint32_t longestDeadlineMs(std::string_view Service) const;
+  //! The longest open_isolation_ms ever in force; it never shrinks either.
+  [[nodiscard]] std::uint32_t longestIsolationMs() const {
+    return LongestIsolationMs;
+  }
+
+  //! Whether \p Announced may become a member: it is newer than the member of
+  //! its id, no other member has its address, and its service is not full.
+  [[nodiscard]] bool mayJoin(const target_member &Announced) const;
+
   //! Whether operators have taken the target or its failure domain out.
   [[nodiscard]] bool takenOut(const target_member &Target) const;
 
@@ -123,6 +144,10 @@
   apply_result applyConfig(const wire::command &Command);
   void applyMembership(const wire::command &Command);
   void applyOwnership(const wire::command &Command);
+  void joinHost(const wire::host_joined &Joined);
+  void joinTarget(const wire::target_joined &Joined);
+  void grantSlots(const wire::grant_slots &Grants);
+  void noteLimitsOf(const rules &Changed);
   void fitSlotTables();
   void releaseSlotsOf(const target_member &Target);
   slot_table &mutableSlots(const std::string &Service);
@@ -142,6 +167,8 @@
   std::shared_ptr<const key_map> Keys;
   std::shared_ptr<const target_map> Targets;
   std::map<std::string, std::shared_ptr<slot_table>, std::less<>> Slots;
+  std::map<std::string, std::uint32_t, std::less<>> LongestDeadlines;
+  std::uint32_t LongestIsolationMs = 0;
   entry_map EntryHosts;
   name_set DomainsOut;
   name_set TargetsOut;
--- a/src/pomeloswitch/state/config_changes.cpp
+++ b/src/pomeloswitch/state/config_changes.cpp
@@ -23,6 +23,15 @@
   throw pomelo_error(Kind, Message);
 }
 
+//! Whether a slot has an owner, or had one that may still run requests.
+bool hasOwnedSlots(const cluster_state &State, std::string_view Service) {
+  const auto Table = State.slotsPart(Service);
+  return Table &&
+         std::any_of(Table->begin(), Table->end(), [](const owned_slot &Slot) {
+           return Slot.Phase != slot_phase::Unowned;
+         });
+}
+
 bool hasTargets(const cluster_state &State, std::string_view Service) {
   return std::any_of(
       State.targets().begin(), State.targets().end(),
@@ -37,10 +46,11 @@
     const service *New = Changed.findService(Old.Name);
     if (New && New->KeySlots == Old.KeySlots)
       continue;
-    if (hasTargets(State, Old.Name))
+    if (hasTargets(State, Old.Name) || hasOwnedSlots(State, Old.Name))
       refuse(error_kind::InvalidChange,
              fmt::format("inventory: services.{}: cannot be removed or given "
-                         "other key_slots while it has targets",
+                         "other key_slots while it has targets "
+                         "or slots that are not released",
                          Old.Name));
   }
 }
@@ -95,6 +105,7 @@
 void config_changes::setRules(const wire::set_document &Change) {
   auto Parsed = std::make_shared<rules>(parseRules(Change.json()));
   checkRulesAgainst(*Parsed, *State.Inventory);
+  State.noteLimitsOf(*Parsed);
   State.Rules = std::move(Parsed);
   State.RulesJson = Change.json();
 }
--- /dev/null
+++ b/tests/ownership/slot_planner_test.cpp
@@ -0,0 +1,216 @@
+#include "pomeloswitch/ownership/slot_planner.hpp"
+
+#include "state/state_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace pomelo {
+namespace {
+
+constexpr mono_time Start{std::chrono::hours(1)};
+constexpr std::uint64_t Commit = 100000;
+
+//! A leader over a state of 16 slots, with entry host "e1" heard.
+class slot_planning : public testing::Test {
+protected:
+  void SetUp() override {
+    Driven.setInventory(testInventory(16));
+    Driven.setRules(testRules(2000));
+    Driven.joinHost("e1", 1);
+    Leases.startTerm(Driven.State, Now);
+    hearHost();
+  }
+
+  void hearHost() {
+    host_status Status;
+    Status.Announced = {"e1", 1, "a", false};
+    Status.AppliedIndex = Status.QuiescedIndex = Driven.State.index();
+    Status.HeardAt = Now;
+    Leases.hostHeard(Status, Commit);
+  }
+
+  void hearTarget(const std::string &Id, std::uint64_t Index) {
+    const auto &Member = Driven.State.targets().at(Id);
+    Leases.targetHeard({Member, Index, Index, Now}, Commit);
+  }
+  void hearTarget(const std::string &Id) {
+    hearTarget(Id, Driven.State.index());
+  }
+
+  void join(const target_member &Target) {
+    Driven.joinTarget(Target);
+    hearTarget(Target.TargetId);
+  }
+
+  void plan() { Driven.applyAll(Planner.plan(Driven.State, Leases, Now)); }
+
+  //! Plans until nothing is left to do while everybody follows at once.
+  unsigned planAll() {
+    unsigned Rounds = 0;
+    for (auto Index = Driven.State.index(); Rounds < 1000; ++Rounds) {
+      hearHost();
+      for (const auto &[Id, Target] : Driven.State.targets())
+        if (!Frozen.contains(Id))
+          hearTarget(Id);
+      plan();
+      if (Driven.State.index() == Index)
+        break;
+      Index = Driven.State.index();
+    }
+    return Rounds;
+  }
+
+  std::map<std::string, unsigned> held() {
+    std::map<std::string, unsigned> Counts;
+    for (const owned_slot &Slot : *Driven.State.slotsPart("archive"))
+      if (Slot.Phase == slot_phase::Active)
+        ++Counts[Slot.Owner];
+    return Counts;
+  }
+
+  unsigned inPhase(slot_phase Phase) {
+    unsigned Count = 0;
+    for (const owned_slot &Slot : *Driven.State.slotsPart("archive"))
+      Count += Slot.Phase == Phase ? 1 : 0;
+    return Count;
+  }
+
+  mono_time Now = Start;
+  driven_state Driven;
+  lease_table Leases{lease_times()};
+  slot_planner Planner{planner_limits()};
+  std::set<std::string> Frozen;
+};
+
+TEST_F(slot_planning, gives_targets_slots_by_their_size) {
+  join(testTarget("t1", 1, true, 4001));
+  target_member Large = testTarget("t2", 1, true, 4002);
+  Large.Slots = 6;
+  join(Large);
+  planAll();
+  EXPECT_EQ(held()["t1"], 4U);
+  EXPECT_EQ(held()["t2"], 12U);
+}
+
+TEST_F(slot_planning, moves_only_what_a_joining_target_takes_over) {
+  join(testTarget("t1", 1, true, 4001));
+  planAll();
+  const slot_table Before = *Driven.State.slotsPart("archive");
+  join(testTarget("t2", 1, true, 4002));
+  planAll();
+  unsigned Moved = 0;
+  for (std::size_t Number = 0; Number < Before.size(); ++Number)
+    Moved += Driven.slot(Number).Token != Before[Number].Token ? 1 : 0;
+  EXPECT_EQ(Moved, 8U);
+  EXPECT_EQ(held()["t2"], 8U);
+}
+
+TEST_F(slot_planning, revokes_the_slots_of_a_leaving_target_with_no_other) {
+  join(testTarget("t1", 1, true, 4001));
+  planAll();
+  wire::command Leaving;
+  Leaving.mutable_target_leaving()->set_target_id("t1");
+  Leaving.mutable_target_leaving()->set_incarnation(1);
+  Driven.apply(Leaving);
+  planAll();
+  EXPECT_EQ(inPhase(slot_phase::Unowned), 16U);
+}
+
+TEST_F(slot_planning, releases_revoked_slots_that_nobody_can_take) {
+  join(testTarget("t1", 1, false, 4001));
+  planAll();
+  Driven.loseTarget("t1", 1);
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), 16U);
+  hearHost();
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Unowned), 16U);
+}
+
+TEST_F(slot_planning, waits_for_entry_hosts_where_the_owner_does_not_check) {
+  join(testTarget("t1", 1, false, 4001));
+  planAll();
+  Driven.loseTarget("t1", 1);
+  join(testTarget("t2", 1, true, 4002));
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), 16U);
+  hearHost();
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Granted), 16U);
+}
+
+TEST_F(slot_planning, waits_out_a_lost_entry_host_and_its_deadlines) {
+  join(testTarget("t1", 1, false, 4001));
+  planAll();
+  Driven.loseTarget("t1", 1);
+  join(testTarget("t2", 1, true, 4002));
+  Now += milliseconds(3400);
+  hearTarget("t2");
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), 16U);
+  Now += milliseconds(200);
+  hearTarget("t2");
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Granted), 16U);
+}
+
+TEST_F(slot_planning, waits_until_a_checking_owner_has_settled) {
+  join(testTarget("t1", 1, true, 4001));
+  planAll();
+  const auto Before = Driven.State.index();
+  wire::command Drain;
+  Drain.mutable_set_drain()->set_scope(wire::set_drain::TARGET);
+  Drain.mutable_set_drain()->set_name("t1");
+  Drain.mutable_set_drain()->set_out(true);
+  Driven.apply(Drain);
+  join(testTarget("t2", 1, true, 4002));
+  plan();
+  hearHost();
+  hearTarget("t1", Before);
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), 16U);
+  hearTarget("t1");
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Granted), 16U);
+}
+
+TEST_F(slot_planning, takes_no_word_of_a_new_incarnation_for_the_old_one) {
+  join(testTarget("t1", 1, true, 4001));
+  planAll();
+  wire::command Drain;
+  Drain.mutable_set_drain()->set_scope(wire::set_drain::TARGET);
+  Drain.mutable_set_drain()->set_name("t1");
+  Drain.mutable_set_drain()->set_out(true);
+  Driven.apply(Drain);
+  join(testTarget("t2", 1, true, 4002));
+  plan();
+  // A report of incarnation 2 must not settle what incarnation 1 owns.
+  target_member Second = testTarget("t1", 2, true, 4009);
+  Leases.targetHeard({Second, Driven.State.index(), Driven.State.index(), Now},
+                     Commit);
+  plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), 16U);
+}
+
+TEST_F(slot_planning, bounds_planned_moves_in_flight) {
+  Driven.setInventory(testInventory(256));
+  join(testTarget("t1", 1, true, 4001));
+  planAll();
+  join(testTarget("t2", 1, true, 4002));
+  Frozen = {"t1"};
+  for (int Round = 0; Round < 5; ++Round)
+    plan();
+  EXPECT_EQ(inPhase(slot_phase::Revoking), planner_limits().MovesInFlight);
+}
+
+TEST_F(slot_planning, comes_to_rest) {
+  for (unsigned Number = 1; Number <= 5; ++Number)
+    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  EXPECT_LT(planAll(), 20U);
+  EXPECT_TRUE(Planner.plan(Driven.State, Leases, Now).empty());
+}
+
+} // namespace
+} // namespace pomelo
