--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -49,12 +49,12 @@
       Quota([this] { asio::post(this->Io, [this] { Session->hurry(); }); }),
       StopTimer(Io) {
   Session = std::make_unique<control_session>(
-      Io, Settings, currentIncarnation(), Authority, makeCallbacks());
+      Io, Settings, currentIncarnation(), makeCallbacks());
   Announcements = std::make_unique<announce_api>(Io, *Session);
   auto CallerAddress = parseEndpoint(Settings.CallerAddress);
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
-        Authority, Quota, Settings.ClusterSecret, CallerAddress,
+        Quota, Settings.ClusterSecret, CallerAddress,
         caller_limits{Settings.MaxCallerConnections / Settings.TrafficThreads,
                       std::chrono::milliseconds(Settings.HeaderTimeoutMs)}));
     CallerAddress = Threads.front()->address();
@@ -75,6 +75,11 @@
   control_session::callbacks Callbacks;
   Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
   Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
+  Callbacks.OnLease = [this](steady_time Until) {
+    Authority.extendTo(Until);
+    for (const auto &Thread : Threads)
+      Thread->extendAuthority(Until);
+  };
   Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
     Announcements->onAck(Ack);
   };
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-traffic_thread::traffic_thread(const authority &Authority, host_quota &Quota,
+traffic_thread::traffic_thread(host_quota &Quota,
                                const std::string &ClusterSecret,
                                const boost::asio::ip::tcp::endpoint &Address,
                                caller_limits Limits)
@@ -38,6 +38,10 @@
   });
 }
 
+void traffic_thread::extendAuthority(steady_time Until) {
+  boost::asio::post(Io, [this, Until] { Authority.extendTo(Until); });
+}
+
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
   boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
     Context.Stopping = true;
@@ -58,7 +62,8 @@
 }
 
 void traffic_thread::updateQuiesced() {
-  Quiesced.store(Context.Flights.quiescedIndex(*Context.View),
+  Quiesced.store(Context.Flights.quiescedIndex(
+                     *Context.View, std::chrono::steady_clock::now()),
                  std::memory_order_release);
 }
 
