--- /dev/null
+++ b/tools/caller/main.cpp
@@ -0,0 +1,97 @@
+#include "caller/replay.hpp"
+#include "caller/trace_generator.hpp"
+#include "pomeloswitch/cli/daemon.hpp"
+
+#include <boost/json.hpp>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+using namespace pomelo;
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char *Usage =
+    R"(pomelo-caller: replays traces against entry hosts.
+
+Usage:
+  pomelo-caller replay --entries=FILE --keys=FILE --trace=FILE [options]
+  pomelo-caller generate --shape=NAME --seconds=N [--seed=N]
+  pomelo-caller (-h | --help)
+
+Options:
+  --entries=FILE    JSON array of {"caller_address", "ops_address", "weight"}.
+  --keys=FILE       JSON object from account to key.
+  --trace=FILE      Trace to replay; see docs/TRACES.md.
+  --log=FILE        Write a JSON line for each request there.
+  --timeout-ms=N    Wait for an answer [default: 10000].
+  --shape=NAME      Shape to generate: statika or hinokuni.
+  --seconds=N       Length of the generated trace.
+  --seed=N          Seed of all random choices [default: 1].
+  -h --help         Show this text.
+
+The outcome of a replay is printed as JSON.
+)";
+
+using arguments = std::map<std::string, docopt::value>;
+
+std::vector<caller::entry_address> readEntries(const std::string &File) {
+  std::vector<caller::entry_address> Entries;
+  const json::value Document = json::parse(readFile(File));
+  for (const auto &Item : Document.as_array()) {
+    const json::object &Entry = Item.as_object();
+    Entries.push_back({textField(Entry, "caller_address"),
+                       textField(Entry, "ops_address"),
+                       realField(Entry, "weight", 1)});
+  }
+  return Entries;
+}
+
+int replayTrace(const arguments &Arguments) {
+  caller::replay_options Options;
+  Options.Entries = readEntries(Arguments.at("--entries").asString());
+  const json::value Keys =
+      json::parse(readFile(Arguments.at("--keys").asString()));
+  for (const auto &Item : Keys.as_object())
+    Options.Keys[std::string(Item.key())] = Item.value().as_string();
+  Options.Timeout =
+      std::chrono::milliseconds(Arguments.at("--timeout-ms").asLong());
+  Options.Seed = static_cast<std::uint64_t>(Arguments.at("--seed").asLong());
+  const auto Outcomes = caller::runReplay(
+      Options, caller::readTraceFile(Arguments.at("--trace").asString()));
+  if (Arguments.at("--log")) {
+    std::ofstream Log(Arguments.at("--log").asString());
+    for (const caller::outcome &Outcome : Outcomes)
+      Log << json::serialize(caller::describeOutcome(Outcome)) << '\n';
+  }
+  fmt::print("{}\n", json::serialize(caller::summarize(Outcomes)));
+  return 0;
+}
+
+int generate(const arguments &Arguments) {
+  const auto &Shape =
+      caller::findTraceShape(Arguments.at("--shape").asString());
+  caller::writeTrace(
+      std::cout,
+      caller::generateTrace(
+          Shape, std::chrono::seconds(Arguments.at("--seconds").asLong()),
+          static_cast<std::uint64_t>(Arguments.at("--seed").asLong())));
+  return 0;
+}
+
+int serve(int Argc, char **Argv) {
+  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  return Arguments.at("generate").asBool() ? generate(Arguments)
+                                           : replayTrace(Arguments);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  return runDaemon("pomelo-caller", [=] { return serve(Argc, Argv); });
+}
--- a/tools/standin_target/main.cpp
+++ b/tools/standin_target/main.cpp
@@ -32,6 +32,8 @@
   boost::asio::io_context Io{1};
   standin::grant_book Grants;
   standin::journal Journal(Options.JournalFile, Options.TargetId);
+  Journal.write("process_start", {{"service", Options.Service},
+                                  {"failure_domain", Options.FailureDomain}});
   standin::target_server Server(Io, Options, Grants, Journal);
   const std::string Address = toString(Server.address());
   standin::announcer Announcer(
