--- a/apps/pomelo_control.cpp
+++ b/apps/pomelo_control.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/daemon.hpp"
 #include "pomeloswitch/control/control_host.hpp"
-#include "pomeloswitch/raft/local_log.hpp"
+#include "pomeloswitch/raft/file_storage.hpp"
+#include "pomeloswitch/raft/raft_log.hpp"
 
 using namespace pomelo;
 
@@ -8,6 +9,17 @@
 
 constexpr std::string_view Name = "pomelo-control";
 
+std::unique_ptr<raft_log> openLog(boost::asio::io_context &Io,
+                                  const control_settings &Settings) {
+  raft_log::options Options;
+  Options.HostId = Settings.HostId;
+  Options.Secret = Settings.ClusterSecret;
+  Options.Members = Settings.Members;
+  return std::make_unique<raft_log>(
+      Io, std::move(Options),
+      std::make_unique<file_storage>(Settings.DataFolder, Settings.HostId));
+}
+
 int serve(int Argc, char **Argv) {
   const daemon_options Options = parseDaemonOptions(
       Name, "pomelo-control: holds the replicated state of a deployment.", Argc,
@@ -18,7 +30,7 @@
     return 0;
   applyLogSettings(Settings.Log);
   boost::asio::io_context Io{1};
-  auto Log = std::make_unique<local_log>(Settings.HostId);
+  auto Log = openLog(Io, Settings);
   const auto Host = control_host::builder()
                         .withIo(Io)
                         .withSettings(std::move(Settings))
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -161,6 +161,8 @@
   }
   case wire::envelope::kProposal:
     return onProposal(Link, Message.proposal());
+  case wire::envelope::kRaft:
+    return Log->deliver(Link, Message.raft());
   default:
     return;
   }
--- /dev/null
+++ b/src/pomeloswitch/raft/file_storage.cpp
@@ -0,0 +1,237 @@
+#include "pomeloswitch/raft/file_storage.hpp"
+
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/raft/record_format.hpp"
+#include "pomeloswitch/wire/secret_hash.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace pomelo {
+namespace {
+
+constexpr std::string_view SegmentPrefix = "log-";
+constexpr std::string_view SnapshotPrefix = "snapshot-";
+constexpr std::size_t ReplicaIdBytes = 16;
+
+const part_log &log() {
+  static const part_log Log("storage");
+  return Log;
+}
+
+[[noreturn]] void refuse(const std::string &Reason) {
+  throw pomelo_error(error_kind::StorageFailed, Reason);
+}
+
+std::string readAll(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    throwStorageError("cannot read", Path);
+  std::string Bytes{std::istreambuf_iterator<char>(File), {}};
+  if (File.bad())
+    throwStorageError("cannot read", Path);
+  return Bytes;
+}
+
+//! The number after \p Prefix in a file's name; nothing for other files.
+std::optional<std::uint64_t> numberOf(const std::filesystem::path &Path,
+                                      std::string_view Prefix) {
+  const std::string Name = Path.filename().string();
+  if (!Name.starts_with(Prefix))
+    return std::nullopt;
+  std::uint64_t Number = 0;
+  const char *End = Name.data() + Name.size();
+  const auto [Stop, Failure] =
+      std::from_chars(Name.data() + Prefix.size(), End, Number);
+  if (Failure != std::errc() || Stop != End)
+    return std::nullopt;
+  return Number;
+}
+
+//! Reads a file that holds exactly one record.
+template <typename Message> Message readSingle(const std::string &Path) {
+  const std::string Bytes = readAll(Path);
+  const record_scan Scan = scanRecords(Bytes);
+  Message Content;
+  if (Scan.Payloads.size() != 1 || Scan.ValidBytes != Bytes.size() ||
+      !Content.ParseFromArray(Scan.Payloads[0].data(),
+                              static_cast<int>(Scan.Payloads[0].size())))
+    refuse(fmt::format("{} is damaged", Path));
+  return Content;
+}
+
+void addEntry(std::vector<wire::raft_entry> &Entries,
+              const wire::raft_entry &Entry, std::uint64_t Base,
+              const std::string &Path) {
+  if (Entry.index() <= Base || Entry.index() > Base + Entries.size() + 1)
+    refuse(fmt::format("{} has entry {} out of order", Path, Entry.index()));
+  Entries.resize(static_cast<std::size_t>(Entry.index() - Base - 1));
+  Entries.push_back(Entry);
+}
+
+} // namespace
+
+file_storage::file_storage(std::filesystem::path GivenFolder,
+                           std::string GivenHostId,
+                           std::unique_ptr<file_calls> GivenCalls)
+    : Folder(std::move(GivenFolder)), HostId(std::move(GivenHostId)),
+      Calls(std::move(GivenCalls)) {
+  std::error_code Error;
+  std::filesystem::create_directories(Folder, Error);
+  if (Error)
+    refuse(
+        fmt::format("cannot create {}: {}", Folder.string(), Error.message()));
+  lockFolder();
+  openIdentity();
+}
+
+void file_storage::lockFolder() {
+  const std::string Path = (Folder / "lock").string();
+  Lock = file_handle(Path, O_RDWR | O_CREAT);
+  if (::flock(Lock.get(), LOCK_EX | LOCK_NB) != 0)
+    refuse(fmt::format("{} is in use by another process", Folder.string()));
+}
+
+void file_storage::openIdentity() {
+  const std::string Path = (Folder / "identity").string();
+  if (!std::filesystem::exists(Path))
+    return createIdentity();
+  Identity = readSingle<wire::raft_identity>(Path);
+  if (Identity.host_id() != HostId)
+    refuse(fmt::format("{} belongs to host \"{}\", not to \"{}\"",
+                       Folder.string(), Identity.host_id(), HostId));
+  Identity.set_starts(Identity.starts() + 1);
+  saveIdentity();
+}
+
+//! The identity is written last, so a folder with an identity is complete and
+//! one without has never been used.
+void file_storage::createIdentity() {
+  for (const auto &File : std::filesystem::directory_iterator(Folder)) {
+    const auto Segment = numberOf(File.path(), SegmentPrefix);
+    if (numberOf(File.path(), SnapshotPrefix) || Segment.value_or(1) != 1)
+      refuse(fmt::format("{} holds a log but no identity", Folder.string()));
+  }
+  Identity.set_host_id(HostId);
+  Identity.set_replica_id(randomHex(ReplicaIdBytes));
+  Identity.set_starts(1);
+  startSegment(wire::raft_record());
+  saveIdentity();
+  log().info("New data folder, replica {}.", Identity.replica_id());
+}
+
+void file_storage::saveIdentity() {
+  replaceFileDurably(*Calls, (Folder / "identity").string(),
+                     encodeRecord(1, Identity.SerializeAsString()));
+}
+
+std::string file_storage::segmentPath(std::uint64_t Number) const {
+  return (Folder / fmt::format("{}{:020}", SegmentPrefix, Number)).string();
+}
+
+std::string file_storage::snapshotPath(std::uint64_t Index) const {
+  return (Folder / fmt::format("{}{:020}", SnapshotPrefix, Index)).string();
+}
+
+std::uint64_t file_storage::latestSegment() const {
+  std::uint64_t Latest = 0;
+  for (const auto &File : std::filesystem::directory_iterator(Folder))
+    Latest = std::max(Latest, numberOf(File.path(), SegmentPrefix).value_or(0));
+  if (Latest == 0)
+    refuse(fmt::format("{} has no log", Folder.string()));
+  return Latest;
+}
+
+stored_state file_storage::load() {
+  SegmentNumber = latestSegment();
+  const std::string Path = segmentPath(SegmentNumber);
+  const std::string Bytes = readAll(Path);
+  const record_scan Scan = scanRecords(Bytes);
+  if (Scan.Damaged || Scan.Payloads.empty())
+    refuse(fmt::format("{} is damaged at byte {}", Path, Scan.ValidBytes));
+  stored_state Stored;
+  Stored.Identity = Identity;
+  for (const std::string_view Payload : Scan.Payloads) {
+    wire::raft_record Record;
+    if (!Record.ParseFromArray(Payload.data(),
+                               static_cast<int>(Payload.size())))
+      refuse(fmt::format("{} holds a record that does not parse", Path));
+    if (Payload.data() == Scan.Payloads.front().data())
+      SnapshotIndex = Record.snapshot_index();
+    Stored.Vote = Record.vote();
+    for (const wire::raft_entry &Entry : Record.entries())
+      addEntry(Stored.Entries, Entry, SnapshotIndex, Path);
+  }
+  if (SnapshotIndex > 0)
+    Stored.Snapshot = loadSnapshot(SnapshotIndex);
+  NextSequence = Scan.NextSequence;
+  Segment = file_handle(Path, O_WRONLY | O_APPEND);
+  if (Scan.ValidBytes < Bytes.size()) {
+    log().warn("Cut {} bytes of a torn record off {}.",
+               Bytes.size() - Scan.ValidBytes, Path);
+    if (::ftruncate(Segment.get(), static_cast<off_t>(Scan.ValidBytes)) != 0)
+      throwStorageError("cannot cut", Path);
+    Calls->sync(Segment.get());
+  }
+  removeOldFiles();
+  return Stored;
+}
+
+wire::raft_snapshot file_storage::loadSnapshot(std::uint64_t Index) const {
+  const std::string Path = snapshotPath(Index);
+  auto Snapshot = readSingle<wire::raft_snapshot>(Path);
+  if (Snapshot.index() != Index)
+    refuse(fmt::format("{} is a snapshot of index {}", Path, Snapshot.index()));
+  return Snapshot;
+}
+
+void file_storage::write(const storage_batch &Batch) {
+  if (!Batch.Snapshot) {
+    Calls->write(Segment.get(), encodeRecord(NextSequence++,
+                                             Batch.Record.SerializeAsString()));
+    return Calls->sync(Segment.get());
+  }
+  SnapshotIndex = Batch.Snapshot->index();
+  replaceFileDurably(*Calls, snapshotPath(SnapshotIndex),
+                     encodeRecord(1, Batch.Snapshot->SerializeAsString()));
+  wire::raft_record First;
+  *First.mutable_vote() = Batch.Record.vote();
+  First.set_snapshot_index(SnapshotIndex);
+  for (const wire::raft_entry &Entry : Batch.Kept)
+    *First.add_entries() = Entry;
+  startSegment(First);
+  removeOldFiles();
+}
+
+void file_storage::startSegment(const wire::raft_record &First) {
+  const std::string Path = segmentPath(++SegmentNumber);
+  replaceFileDurably(*Calls, Path,
+                     encodeRecord(NextSequence++, First.SerializeAsString()));
+  Segment = file_handle(Path, O_WRONLY | O_APPEND);
+}
+
+//! A file that cannot be removed is only in the way; the next start or
+//! snapshot tries again.
+void file_storage::removeOldFiles() {
+  std::vector<std::filesystem::path> Old;
+  for (const auto &File : std::filesystem::directory_iterator(Folder)) {
+    const auto Number = numberOf(File.path(), SegmentPrefix);
+    const auto Index = numberOf(File.path(), SnapshotPrefix);
+    if ((Number && *Number < SegmentNumber) ||
+        (Index && *Index != SnapshotIndex) || File.path().extension() == ".tmp")
+      Old.push_back(File.path());
+  }
+  std::error_code Ignored;
+  for (const auto &Path : Old)
+    std::filesystem::remove(Path, Ignored);
+}
+
+} // namespace pomelo
--- a/src/pomeloswitch/raft/local_log.hpp
+++ b/src/pomeloswitch/raft/local_log.hpp
@@ -24,6 +24,12 @@
   }
   [[nodiscard]] std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const override;
+  void deliver(const std::shared_ptr<peer_link> &,
+               const wire::raft_message &) override {}
+  [[nodiscard]] std::vector<control_member> members() const override;
+  void addMember(const host_address &Host,
+                 const std::string &Replaces) override;
+  void removeMember(const std::string &HostId) override;
 
 private:
   std::string HostId;
--- /dev/null
+++ b/src/pomeloswitch/raft/peer_network.cpp
@@ -0,0 +1,119 @@
+#include "pomeloswitch/raft/peer_network.hpp"
+
+namespace pomelo {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds MaxSilence{600};
+constexpr milliseconds MaxBulkSilence{10000};
+//! A link that does not open within this time is given up.
+constexpr milliseconds MaxOpening{1500};
+
+bool isAnswer(const wire::raft_message &Message) {
+  return Message.has_vote_answer() || Message.has_append_answer() ||
+         Message.has_found_answer() || Message.has_identity_answer();
+}
+
+} // namespace
+
+peer_network::peer_network(boost::asio::io_context &Io, std::string HostId,
+                           std::string Secret, receiver Receiver)
+    : Io(Io), HostId(std::move(HostId)), Secret(std::move(Secret)),
+      Receiver(std::move(Receiver)) {}
+
+peer_network::~peer_network() = default;
+
+void peer_network::connect(const std::string &PeerId,
+                           const std::string &Address) {
+  peer &Peer = Peers[PeerId];
+  if (PeerId == HostId || Peer.Address == Address)
+    return;
+  if (Peer.Dialer) {
+    Peer.Dialer->stop();
+    Retired.push_back(std::move(Peer.Dialer));
+  }
+  Peer = peer();
+  Peer.Address = Address;
+  Peer.Dialer = std::make_unique<peer_dialer>(Io, parseEndpoint(Address),
+                                              Secret, handlersOf(PeerId));
+  Peer.Dialer->start();
+}
+
+peer_link::handlers peer_network::handlersOf(const std::string &PeerId) {
+  peer_link::handlers Handlers;
+  Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
+    wire::envelope Hello;
+    Hello.mutable_hello()->set_role(wire::hello::CONTROL);
+    Hello.mutable_hello()->set_id(HostId);
+    Link->send(Hello);
+  };
+  Handlers.OnMessage = [this, PeerId](const std::shared_ptr<peer_link> &,
+                                      const wire::envelope &Message) {
+    if (!Message.has_raft())
+      return;
+    peer &Peer = Peers.at(PeerId);
+    Peer.SilentSince = raft_time();
+    Peer.Bulk = false;
+    Receiver(Message.raft());
+  };
+  Handlers.OnClose = [](const std::shared_ptr<peer_link> &) {};
+  return Handlers;
+}
+
+void peer_network::stop() {
+  for (auto &[PeerId, Peer] : Peers)
+    if (Peer.Dialer)
+      Peer.Dialer->stop();
+}
+
+void peer_network::send(const wire::raft_message &Message, raft_time Now) {
+  wire::envelope Envelope;
+  *Envelope.mutable_raft() = Message;
+  if (isAnswer(Message)) {
+    const auto Found = Inbound.find(Message.to_host());
+    const auto Link = Found == Inbound.end() ? nullptr : Found->second.lock();
+    if (Link)
+      Link->send(Envelope);
+    return;
+  }
+  const auto Found = Peers.find(Message.to_host());
+  if (Found == Peers.end() || !Found->second.Dialer ||
+      !Found->second.Dialer->send(Envelope))
+    return;
+  if (Found->second.SilentSince == raft_time())
+    Found->second.SilentSince = Now;
+  Found->second.Bulk |= Message.has_snapshot_request();
+}
+
+void peer_network::receive(const std::shared_ptr<peer_link> &Link,
+                           const wire::raft_message &Message) {
+  Inbound[Message.from_host()] = Link;
+  Receiver(Message);
+}
+
+void peer_network::tick(raft_time Now) {
+  for (auto &[PeerId, Peer] : Peers) {
+    if (!Peer.Dialer)
+      continue;
+    if (Peer.Dialer->open())
+      Peer.ClosedSince = raft_time();
+    else if (Peer.ClosedSince == raft_time())
+      Peer.ClosedSince = Now;
+    const auto Limit = Peer.Bulk ? MaxBulkSilence : MaxSilence;
+    const bool Silent =
+        Peer.SilentSince != raft_time() && Now - Peer.SilentSince > Limit;
+    const bool Unopened =
+        Peer.ClosedSince != raft_time() && Now - Peer.ClosedSince > MaxOpening;
+    if (!Silent && !Unopened)
+      continue;
+    if (Silent && Peer.Dialer->open())
+      Log.debug("Control host {} is silent; the link is dialed again.", PeerId);
+    Peer.SilentSince = raft_time();
+    Peer.ClosedSince = raft_time();
+    Peer.Bulk = false;
+    Peer.Dialer->reset();
+  }
+}
+
+} // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -0,0 +1,319 @@
+#include "pomeloswitch/raft/raft_log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds TickInterval{10};
+constexpr milliseconds FoundingInterval{100};
+
+raft_core::options coreOptions(const raft_log::options &Options,
+                               std::mt19937_64 &Random) {
+  raft_core::options Core;
+  Core.HostId = Options.HostId;
+  Core.RunId = Random();
+  Core.Times = Options.Times;
+  Core.Random = [&Random] { return Random(); };
+  return Core;
+}
+
+} // namespace
+
+raft_log::raft_log(boost::asio::io_context &Io, options GivenOptions,
+                   std::unique_ptr<log_storage> Storage)
+    : Io(Io), Options(std::move(GivenOptions)), Random(std::random_device()()),
+      Core(coreOptions(Options, Random), Storage->load(), steady_clock::now()),
+      Founding(Options.HostId, Options.Members),
+      Network(Io, Options.HostId, Options.Secret,
+              [this](const wire::raft_message &Message) { receive(Message); }),
+      Worker(Io, std::move(Storage),
+             [this](const storage_batch &Batch,
+                    const std::optional<std::string> &Failure) {
+               onSynced(Batch, Failure);
+             }),
+      Ticker(Io) {}
+
+void raft_log::start(applier NewApplier) {
+  Applier = std::move(NewApplier);
+  Log.info("Replica {} holds the log up to {}, term {}.",
+           Core.identity().replica_id(), Core.log().lastIndex(), Core.term());
+  for (const host_address &Member : Options.Members)
+    Network.connect(Member.Id, Member.Address);
+  connectMembers();
+  applyCommitted();
+  tick();
+}
+
+void raft_log::stop() {
+  Stopped = true;
+  Ticker.cancel();
+  Network.stop();
+}
+
+void raft_log::propose(std::string Command, completion Done) {
+  if (Failed)
+    return Done({error_kind::StorageFailed, 0});
+  const auto Index = Leading ? Core.propose(std::move(Command)) : std::nullopt;
+  if (!Index)
+    return Done({error_kind::NotLeader, 0});
+  Proposals[*Index] = {Core.term(), std::move(Done)};
+  pumpSoon();
+}
+
+void raft_log::deliver(const std::shared_ptr<peer_link> &Link,
+                       const wire::raft_message &Message) {
+  if (!Failed && !Stopped)
+    Network.receive(Link, Message);
+}
+
+void raft_log::receive(const wire::raft_message &Message) {
+  if (Failed || Stopped)
+    return;
+  if (Message.has_found_request())
+    return onFoundRequest(Message);
+  if (Message.has_found_answer())
+    return Founding.answered(Message);
+  try {
+    Core.receive(Message, steady_clock::now());
+  } catch (const pomelo_error &Failure) {
+    return fail(Failure.what());
+  }
+  if (Core.rolledBack())
+    return fail("the data folder is older than what other control hosts "
+                "remember of it; empty it to join again as a new replica");
+  pumpSoon();
+}
+
+void raft_log::onFoundRequest(const wire::raft_message &Message) {
+  wire::raft_message Answer;
+  Answer.set_from_host(Options.HostId);
+  Answer.set_from_replica(Core.identity().replica_id());
+  Answer.set_to_host(Message.from_host());
+  Answer.mutable_found_answer()->set_blank(Core.blank());
+  Network.send(Answer, steady_clock::now());
+}
+
+void raft_log::askFoundingMembers(raft_time Now) {
+  if (!Core.blank() || !Founding.founder() || Now < FoundingDue)
+    return;
+  FoundingDue = Now + FoundingInterval;
+  if (const auto Config = Founding.config(Core.identity().replica_id())) {
+    Log.info("The group is founded with {} members.", Config->members_size());
+    return Core.found(*Config, Now);
+  }
+  for (const std::string &HostId : Founding.others()) {
+    wire::raft_message Request;
+    Request.set_from_host(Options.HostId);
+    Request.set_from_replica(Core.identity().replica_id());
+    Request.set_to_host(HostId);
+    Request.mutable_found_request();
+    Network.send(Request, Now);
+  }
+}
+
+void raft_log::tick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](boost::system::error_code Error) {
+    if (Error || Stopped || Failed)
+      return;
+    const raft_time Now = steady_clock::now();
+    askFoundingMembers(Now);
+    Network.tick(Now);
+    Core.tick(Now);
+    pump();
+    tick();
+  });
+}
+
+//! Everything that arrives in one turn of the I/O context shares one pump, and
+//! so one message to each follower and one sync.
+void raft_log::pumpSoon() {
+  if (std::exchange(PumpScheduled, true))
+    return;
+  boost::asio::post(Io, [this] {
+    PumpScheduled = false;
+    pump();
+  });
+}
+
+void raft_log::pump() {
+  if (Failed || Stopped)
+    return;
+  const raft_time Now = steady_clock::now();
+  sendAll(Core.takeMessages(Now), Now);
+  writeNext(Now);
+  applyCommitted();
+  connectMembers();
+  noteLeadership();
+  takeSnapshotIfDue();
+}
+
+void raft_log::sendAll(const std::vector<wire::raft_message> &Messages,
+                       raft_time Now) {
+  for (const wire::raft_message &Message : Messages)
+    Network.send(Message, Now);
+}
+
+void raft_log::writeNext(raft_time Now) {
+  if (Worker.busy())
+    return;
+  storage_batch Batch = Core.takeBatch();
+  if (Batch.empty())
+    return sendAll(Batch.SendAfter, Now);
+  Worker.write(std::move(Batch));
+}
+
+void raft_log::onSynced(const storage_batch &Batch,
+                        const std::optional<std::string> &Failure) {
+  if (Failed || Stopped)
+    return;
+  if (Failure)
+    return fail(*Failure);
+  const raft_time Now = steady_clock::now();
+  Core.synced(Batch, Now);
+  sendAll(Batch.SendAfter, Now);
+  pump();
+}
+
+void raft_log::applyCommitted() {
+  if (const auto Snapshot = Core.takeInstall()) {
+    Applied = SnapshotIndex = Snapshot->index();
+    if (!Snapshot->state().empty())
+      Applier.OnSnapshot(Applied, Snapshot->state());
+  }
+  for (const wire::raft_entry &Entry : Core.takeCommitted())
+    applyEntry(Entry);
+}
+
+void raft_log::applyEntry(const wire::raft_entry &Entry) {
+  Applied = Entry.index();
+  Applier.OnCommitted({Entry.index(), Entry.command()});
+  const auto Found = Proposals.find(Entry.index());
+  if (Found == Proposals.end())
+    return;
+  const pending_proposal Proposal = std::move(Found->second);
+  Proposals.erase(Found);
+  if (Proposal.Term == Entry.term())
+    Proposal.Done({std::nullopt, Entry.index()});
+  else
+    Proposal.Done({error_kind::NoQuorum, 0});
+}
+
+void raft_log::noteLeadership() {
+  const bool Now =
+      Core.role() == raft_role::Leader && Applied >= Core.termStart();
+  if (Leading && (!Now || LedTerm != Core.term())) {
+    Leading = false;
+    endProposals(error_kind::NoQuorum);
+    Applier.OnLeadership(false);
+  }
+  if (Now && !Leading) {
+    Leading = true;
+    LedTerm = Core.term();
+    Applier.OnLeadership(true);
+  }
+}
+
+void raft_log::connectMembers() {
+  if (ConnectedConfig == Core.log().configIndex())
+    return;
+  ConnectedConfig = Core.log().configIndex();
+  for (const wire::raft_member &Member : Core.log().config().members())
+    Network.connect(Member.host_id(), Member.address());
+}
+
+void raft_log::takeSnapshotIfDue() {
+  if (Applied - SnapshotIndex < Options.SnapshotEntries &&
+      Core.log().bytes() < Options.SnapshotBytes)
+    return;
+  if (Applied < SnapshotIndex + 2)
+    return;
+  SnapshotIndex = Applied;
+  // Few entries stay if they are large, so that memory stays bounded.
+  const bool Large = Core.log().bytes() >= Options.SnapshotBytes;
+  const std::uint64_t Kept = Large ? 0 : Options.KeptEntries;
+  Core.compact(Applied, Applier.TakeSnapshot(),
+               Applied > Kept ? Applied - Kept : 0);
+  pumpSoon();
+}
+
+void raft_log::fail(const std::string &Reason) {
+  Log.error("This host stops taking part: {}.", Reason);
+  Failed = true;
+  Network.stop();
+  const bool Led = std::exchange(Leading, false);
+  endProposals(error_kind::StorageFailed);
+  if (Led)
+    Applier.OnLeadership(false);
+}
+
+void raft_log::endProposals(error_kind Kind) {
+  for (auto &[Index, Proposal] : std::exchange(Proposals, {}))
+    Proposal.Done({Kind, 0});
+}
+
+bool raft_log::leadershipConfirmed() const {
+  return Leading && !Failed && LedTerm == Core.term() &&
+         Core.leadershipConfirmed(steady_clock::now());
+}
+
+std::string raft_log::leaderId() const {
+  return Failed ? std::string() : Core.leaderId();
+}
+
+std::uint64_t raft_log::commitIndex() const { return Core.commitIndex(); }
+
+std::optional<std::vector<committed_entry>>
+raft_log::entriesFrom(std::uint64_t First, std::size_t MaxBytes) const {
+  if (First < Core.log().firstIndex())
+    return std::nullopt;
+  std::vector<committed_entry> Found;
+  std::size_t Bytes = 0;
+  for (std::uint64_t Index = First; Index <= Applied && Bytes < MaxBytes;
+       ++Index) {
+    Found.push_back({Index, Core.log().at(Index).command()});
+    Bytes += Found.back().Command.size();
+  }
+  return Found;
+}
+
+std::vector<control_member> raft_log::members() const {
+  std::vector<control_member> Members;
+  for (const wire::raft_member &Member : Core.log().config().members())
+    Members.push_back({Member.host_id(), Member.address(), Member.voter(),
+                       Member.replaces(), Core.matchOf(Member.host_id())});
+  return Members;
+}
+
+void raft_log::requireLeading() const {
+  if (!leadershipConfirmed())
+    throw pomelo_error(error_kind::NotLeader, "this host does not lead");
+}
+
+void raft_log::addMember(const host_address &Host,
+                         const std::string &Replaces) {
+  requireLeading();
+  wire::raft_member Member;
+  Member.set_host_id(Host.Id);
+  Member.set_address(Host.Address);
+  Member.set_replaces(Replaces);
+  if (const auto Refusal = Core.addLearner(Member))
+    throw pomelo_error(error_kind::InvalidChange, *Refusal);
+  pumpSoon();
+}
+
+void raft_log::removeMember(const std::string &HostId) {
+  requireLeading();
+  if (const auto Refusal = Core.removeMember(HostId))
+    throw pomelo_error(error_kind::InvalidChange, *Refusal);
+  pumpSoon();
+}
+
+} // namespace pomelo
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -3,15 +3,23 @@
 #define POMELOSWITCH_RAFT_REPLICATED_LOG_HPP
 
 #include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+namespace pomelo::wire {
+class raft_message;
+}
+
 namespace pomelo {
 
+class peer_link;
+
 //! How a proposal ended.
 struct proposal_outcome {
   std::optional<error_kind> Failure; //!< NotLeader, NoQuorum, StorageFailed.
@@ -23,6 +31,15 @@
   std::string Command; //!< A serialized wire::command; empty for no change.
 };
 
+//! A control host in the group that keeps the log.
+struct control_member {
+  std::string HostId;
+  std::string Address; //!< IP:port of the inner protocol.
+  bool Voter = false;  //!< False for a learner.
+  std::string Replaces;
+  std::uint64_t DurableIndex = 0; //!< As far as the leader knows.
+};
+
 //! A log that a quorum of control hosts holds durably. All members run on the
 //! control thread.
 class replicated_log {
@@ -65,6 +82,19 @@
   //! nothing if the log no longer reaches back to \p First.
   [[nodiscard]] virtual std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const = 0;
+
+  //! Takes a message of another control host that came on \p Link.
+  virtual void deliver(const std::shared_ptr<peer_link> &Link,
+                       const wire::raft_message &Message) = 0;
+
+  [[nodiscard]] virtual std::vector<control_member> members() const = 0;
+  //! Begins to add \p Host as a learner. It becomes a voter by itself once it
+  //! holds everything durably; then \p Replaces, if not empty, is removed.
+  //! \throws pomelo_error NotLeader, or InvalidChange with the reason.
+  virtual void addMember(const host_address &Host,
+                         const std::string &Replaces) = 0;
+  //! \throws pomelo_error NotLeader, or InvalidChange with the reason.
+  virtual void removeMember(const std::string &HostId) = 0;
 };
 
 } // namespace pomelo
--- /dev/null
+++ b/src/pomeloswitch/raft/storage_worker.hpp
@@ -0,0 +1,42 @@
+//! Writes batches to the storage on a thread of its own.
+#ifndef POMELOSWITCH_RAFT_STORAGE_WORKER_HPP
+#define POMELOSWITCH_RAFT_STORAGE_WORKER_HPP
+
+#include "pomeloswitch/raft/log_storage.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pomelo {
+
+//! Takes one batch at a time, so what arrives meanwhile shares the next sync.
+class storage_worker {
+public:
+  //! Called on the I/O context with the batch, and with the reason if it may
+  //! not be durable.
+  using completion = std::function<void(const storage_batch &Batch,
+                                        const std::optional<std::string> &)>;
+
+  storage_worker(boost::asio::io_context &Io,
+                 std::unique_ptr<log_storage> Storage, completion Done);
+  ~storage_worker();
+
+  [[nodiscard]] bool busy() const { return Busy; }
+  //! Must not be called while busy.
+  void write(storage_batch Batch);
+
+private:
+  boost::asio::io_context &Io;
+  std::unique_ptr<log_storage> Storage;
+  completion Done;
+  boost::asio::thread_pool Thread{1};
+  bool Busy = false;
+};
+
+} // namespace pomelo
+
+#endif
