Change the control group and export the state through the API

Operators had no way to replace a control host. Status is now answered by the leader alone: a host that had just restarted answered version 0 from the state it had applied so far. The list of control hosts is each host's own view.

--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -11,6 +11,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <map>
 #include <sstream>
 
@@ -33,6 +34,11 @@
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
   pomeloctl [options] explain SERVICE KEY
+  pomeloctl [options] control list
+  pomeloctl [options] control add ID ADDRESS
+  pomeloctl [options] control remove ID
+  pomeloctl [options] control replace OLD ID ADDRESS
+  pomeloctl [options] snapshot export FILE
   pomeloctl (-h | --help)
   pomeloctl --version
 
@@ -144,6 +150,19 @@
                 readFile(Arguments.at("FILE").asString()));
 }
 
+admin_request controlRequest(const arguments &Arguments) {
+  if (given(Arguments, "list"))
+    return read("/v1/control-hosts");
+  json::object Body{{"host_id", Arguments.at("ID").asString()}};
+  if (given(Arguments, "remove"))
+    return change(Arguments, "POST", "/v1/control-hosts/remove",
+                  json::serialize(Body));
+  Body["address"] = Arguments.at("ADDRESS").asString();
+  if (given(Arguments, "replace"))
+    Body["replaces"] = Arguments.at("OLD").asString();
+  return change(Arguments, "POST", "/v1/control-hosts", json::serialize(Body));
+}
+
 admin_request makeRequest(const arguments &Arguments) {
   if (given(Arguments, "inventory"))
     return documentRequest(Arguments, "/v1/inventory");
@@ -155,6 +174,10 @@
     return drainRequest(Arguments, "failure_domain");
   if (given(Arguments, "target"))
     return drainRequest(Arguments, "target");
+  if (given(Arguments, "control"))
+    return controlRequest(Arguments);
+  if (given(Arguments, "snapshot"))
+    return read("/v1/snapshot");
   if (given(Arguments, "explain"))
     return read(fmt::format("/v1/explain?service={}&key={}",
                             percentEncoded(Arguments.at("SERVICE").asString()),
@@ -183,9 +206,20 @@
                                        : json::serialize(Value));
 }
 
+int writeExport(const std::string &Path, const json::object &Answer) {
+  std::ofstream File(Path);
+  File << json::serialize(Answer) << '\n';
+  if (!File.flush())
+    throw pomelo_error(error_kind::BadSettings,
+                       fmt::format("cannot write {}", Path));
+  return 0;
+}
+
 int run(const arguments &Arguments) {
   const admin_request Request = makeRequest(Arguments);
   const json::object Answer = makeClient(Arguments).call(Request);
+  if (given(Arguments, "snapshot"))
+    return writeExport(Arguments.at("FILE").asString(), Answer);
   if (given(Arguments, "--json"))
     fmt::print("{}\n", json::serialize(Answer));
   else
--- a/src/pomeloswitch/control/admin_api.cpp
+++ b/src/pomeloswitch/control/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/control/admin_api.hpp"
 
+#include "pomeloswitch/control/request_fields.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/raft/replicated_log.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
@@ -52,22 +53,6 @@
   return *Value;
 }
 
-json::object parseBody(const text_request &Request) {
-  json::error_code Error;
-  json::value Body = json::parse(Request.body(), Error);
-  if (Error || !Body.is_object())
-    throw pomelo_error(error_kind::BadRequest, "the body is not a JSON object");
-  return std::move(Body.as_object());
-}
-
-std::string requiredText(const json::object &Body, std::string_view Name) {
-  const auto *Value = Body.if_contains(Name);
-  if (!Value || !Value->is_string() || Value->as_string().empty())
-    throw pomelo_error(error_kind::BadRequest,
-                       fmt::format("{}: a non-empty text is needed", Name));
-  return std::string(Value->as_string());
-}
-
 std::uint64_t parseVersion(std::string_view Text) {
   std::uint64_t Version = 0;
   const auto [End, Failure] =
@@ -141,7 +126,7 @@
 } // namespace
 
 const admin_api::endpoint admin_api::Endpoints[] = {
-    {http::verb::get, "/v1/status", false, &admin_api::getStatus},
+    {http::verb::get, "/v1/status", true, &admin_api::getStatus},
     {http::verb::get, "/v1/inventory", true, &admin_api::getInventory},
     {http::verb::get, "/v1/rules", true, &admin_api::getRules},
     {http::verb::get, "/v1/explain", true, &admin_api::getExplain},
@@ -150,6 +135,11 @@
     {http::verb::post, "/v1/keys", true, &admin_api::postKey},
     {http::verb::post, "/v1/keys/withdraw", true, &admin_api::postWithdrawal},
     {http::verb::post, "/v1/drains", true, &admin_api::postDrain},
+    {http::verb::get, "/v1/control-hosts", false, &admin_api::getControlHosts},
+    {http::verb::post, "/v1/control-hosts", true, &admin_api::postControlHost},
+    {http::verb::post, "/v1/control-hosts/remove", true,
+     &admin_api::postControlRemoval},
+    {http::verb::get, "/v1/snapshot", true, &admin_api::getSnapshot},
 };
 
 asio::awaitable<text_response> admin_api::handle(const text_request &Request) {
--- a/src/pomeloswitch/control/admin_api.hpp
+++ b/src/pomeloswitch/control/admin_api.hpp
@@ -33,6 +33,7 @@
   [[nodiscard]] virtual const cluster_state &state() const = 0;
   [[nodiscard]] virtual const lease_table &leases() const = 0;
   [[nodiscard]] virtual const replicated_log &log() const = 0;
+  [[nodiscard]] virtual replicated_log &log() = 0;
   [[nodiscard]] virtual const control_settings &settings() const = 0;
 };
 
@@ -78,6 +79,17 @@
   boost::asio::awaitable<boost::json::object>
   postDrain(const text_request &Request);
 
+  // control_group_api.cpp
+  boost::asio::awaitable<boost::json::object>
+  getControlHosts(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postControlHost(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postControlRemoval(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getSnapshot(const text_request &Request);
+  boost::asio::awaitable<void> waitCommitted(std::uint64_t Index);
+
   boost::asio::io_context &Io;
   admin_backend &Backend;
 };
--- /dev/null
+++ b/src/pomeloswitch/control/control_group_api.cpp
@@ -0,0 +1,99 @@
+//! The administration API's endpoints for the control group and its state.
+#include "pomeloswitch/control/admin_api.hpp"
+#include "pomeloswitch/control/request_fields.hpp"
+#include "pomeloswitch/raft/replicated_log.hpp"
+#include "pomeloswitch/settings/control_settings.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
+#include "pomeloswitch_wire/inner.pb.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <google/protobuf/util/json_util.h>
+
+#include <chrono>
+
+namespace pomelo {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds CommitTimeout{5000};
+constexpr milliseconds CommitPoll{5};
+
+std::string addressField(const json::object &Body) {
+  const std::string Address = requiredText(Body, "address");
+  try {
+    parseEndpoint(Address);
+  } catch (const pomelo_error &Failure) {
+    throw pomelo_error(error_kind::BadRequest,
+                       std::string("address: ") + Failure.what());
+  }
+  return Address;
+}
+
+} // namespace
+
+asio::awaitable<json::object> admin_api::getControlHosts(const text_request &) {
+  json::array Members;
+  for (const control_member &Member : Backend.log().members())
+    Members.push_back(json::object{{"host_id", Member.HostId},
+                                   {"address", Member.Address},
+                                   {"voter", Member.Voter},
+                                   {"replaces", Member.Replaces},
+                                   {"durable_index", Member.DurableIndex}});
+  co_return json::object{{"host_id", Backend.settings().HostId},
+                         {"leader", Backend.log().leaderId()},
+                         {"leading", Backend.log().leadershipConfirmed()},
+                         {"commit_index", Backend.log().commitIndex()},
+                         {"members", std::move(Members)}};
+}
+
+asio::awaitable<json::object>
+admin_api::postControlHost(const text_request &Request) {
+  const json::object Body = parseBody(Request);
+  const host_address Host{requiredText(Body, "host_id"), addressField(Body)};
+  const std::string Replaces =
+      Body.contains("replaces") ? requiredText(Body, "replaces") : "";
+  const std::uint64_t Index = Backend.log().addMember(Host, Replaces);
+  co_await waitCommitted(Index);
+  co_return json::object{{"index", Index}};
+}
+
+asio::awaitable<json::object>
+admin_api::postControlRemoval(const text_request &Request) {
+  const json::object Body = parseBody(Request);
+  const std::uint64_t Index =
+      Backend.log().removeMember(requiredText(Body, "host_id"));
+  co_await waitCommitted(Index);
+  co_return json::object{{"index", Index}};
+}
+
+asio::awaitable<void> admin_api::waitCommitted(std::uint64_t Index) {
+  asio::steady_timer Timer(Io);
+  const auto GiveUp = steady_clock::now() + CommitTimeout;
+  while (Backend.log().commitIndex() < Index) {
+    if (!Backend.log().leading() || steady_clock::now() > GiveUp)
+      throw pomelo_error(error_kind::NoQuorum,
+                         "the change of the control group was not confirmed "
+                         "in time; see the list of control hosts");
+    Timer.expires_after(CommitPoll);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<json::object> admin_api::getSnapshot(const text_request &) {
+  std::string Text;
+  const auto Status = google::protobuf::util::MessageToJsonString(
+      Backend.state().toSnapshot(), &Text);
+  if (!Status.ok())
+    throw pomelo_error(error_kind::Internal,
+                       "the state cannot be written as JSON");
+  co_return json::object{{"index", Backend.state().index()},
+                         {"state", json::parse(Text)}};
+}
+
+} // namespace pomelo
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -44,6 +44,7 @@
   [[nodiscard]] const cluster_state &state() const override { return State; }
   [[nodiscard]] const lease_table &leases() const override { return Leases; }
   [[nodiscard]] const replicated_log &log() const override { return *Log; }
+  [[nodiscard]] replicated_log &log() override { return *Log; }
   [[nodiscard]] const control_settings &settings() const override {
     return Settings;
   }
--- a/src/pomeloswitch/raft/local_log.cpp
+++ b/src/pomeloswitch/raft/local_log.cpp
@@ -30,11 +30,11 @@
   return {{HostId, {}, true, {}, Entries.size()}};
 }
 
-void local_log::addMember(const host_address &, const std::string &) {
+std::uint64_t local_log::addMember(const host_address &, const std::string &) {
   throw pomelo_error(error_kind::InvalidChange, "a local log has one member");
 }
 
-void local_log::removeMember(const std::string &) {
+std::uint64_t local_log::removeMember(const std::string &) {
   throw pomelo_error(error_kind::InvalidChange, "a local log has one member");
 }
 
--- a/src/pomeloswitch/raft/local_log.hpp
+++ b/src/pomeloswitch/raft/local_log.hpp
@@ -27,9 +27,9 @@
   void deliver(const std::shared_ptr<peer_link> &,
                const wire::raft_message &) override {}
   [[nodiscard]] std::vector<control_member> members() const override;
-  void addMember(const host_address &Host,
-                 const std::string &Replaces) override;
-  void removeMember(const std::string &HostId) override;
+  std::uint64_t addMember(const host_address &Host,
+                          const std::string &Replaces) override;
+  std::uint64_t removeMember(const std::string &HostId) override;
 
 private:
   std::string HostId;
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -297,9 +297,13 @@
     throw pomelo_error(error_kind::NotLeader, "this host does not lead");
 }
 
-void raft_log::addMember(const host_address &Host,
-                         const std::string &Replaces) {
+std::uint64_t raft_log::addMember(const host_address &Host,
+                                  const std::string &Replaces) {
   requireLeading();
+  // A resent change finds the member that the first one made.
+  for (const wire::raft_member &Known : Core.log().config().members())
+    if (Known.host_id() == Host.Id && Known.address() == Host.Address)
+      return Core.log().configIndex();
   wire::raft_member Member;
   Member.set_host_id(Host.Id);
   Member.set_address(Host.Address);
@@ -307,13 +311,15 @@
   if (const auto Refusal = Core.addLearner(Member))
     throw pomelo_error(error_kind::InvalidChange, *Refusal);
   pumpSoon();
+  return Core.log().configIndex();
 }
 
-void raft_log::removeMember(const std::string &HostId) {
+std::uint64_t raft_log::removeMember(const std::string &HostId) {
   requireLeading();
   if (const auto Refusal = Core.removeMember(HostId))
     throw pomelo_error(error_kind::InvalidChange, *Refusal);
   pumpSoon();
+  return Core.log().configIndex();
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -51,9 +51,9 @@
   [[nodiscard]] std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const override;
   [[nodiscard]] std::vector<control_member> members() const override;
-  void addMember(const host_address &Host,
-                 const std::string &Replaces) override;
-  void removeMember(const std::string &HostId) override;
+  std::uint64_t addMember(const host_address &Host,
+                          const std::string &Replaces) override;
+  std::uint64_t removeMember(const std::string &HostId) override;
 
 private:
   struct pending_proposal {
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -90,11 +90,12 @@
   [[nodiscard]] virtual std::vector<control_member> members() const = 0;
   //! Begins to add \p Host as a learner. It becomes a voter by itself once it
   //! holds everything durably; then \p Replaces, if not empty, is removed.
+  //! Returns the log index whose commit makes the change durable.
   //! \throws pomelo_error NotLeader, or InvalidChange with the reason.
-  virtual void addMember(const host_address &Host,
-                         const std::string &Replaces) = 0;
-  //! \throws pomelo_error NotLeader, or InvalidChange with the reason.
-  virtual void removeMember(const std::string &HostId) = 0;
+  virtual std::uint64_t addMember(const host_address &Host,
+                                  const std::string &Replaces) = 0;
+  //! Returns and throws as addMember().
+  virtual std::uint64_t removeMember(const std::string &HostId) = 0;
 };
 
 } // namespace pomelo
