--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/admission/quota_codec.hpp"
 #include "pomeloswitch/membership/member_planner.hpp"
+#include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <boost/json.hpp>
@@ -172,6 +173,8 @@
   }
   case wire::envelope::kProposal:
     return onProposal(Link, Message.proposal());
+  case wire::envelope::kRaft:
+    return Log->deliver(Link, Message.raft());
   default:
     return;
   }
@@ -188,7 +191,7 @@
   Host.QuiescedIndex = Beat.quiesced_index();
   Host.Stopping = Beat.stopping();
   Host.HeardAt = Now;
-  if (!Leases.hostHeard(std::move(Host)))
+  if (!Leases.hostHeard(std::move(Host), Log->commitIndex()))
     return;
   // Only a member's lease is waited for when slots move, so only a member
   // gets one.
@@ -213,8 +216,8 @@
     Target.TakenIndex = Report.taken_index();
     Target.SettledIndex = Report.settled_index();
     Target.HeardAt = Now;
-    Leases.targetHeard(Target);
-    Ack->add_targets(Joined.target_id());
+    if (Leases.targetHeard(Target, Log->commitIndex()))
+      Ack->add_targets(reportId(Joined));
   }
   answerQuota(Beat, Now, *Ack);
   Link->send(Answer);
@@ -298,6 +301,7 @@
   if (!Log->leadershipConfirmed() || PlannedInFlight > 0)
     return;
   const mono_time Now = steady_clock::now();
+  Leases.forgetExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
   std::vector<wire::command> Moves = Planner.plan(State, Leases, Now);
   std::move(Moves.begin(), Moves.end(), std::back_inserter(Commands));
--- a/tests/admission/fleet_model.hpp
+++ b/tests/admission/fleet_model.hpp
@@ -121,7 +121,7 @@
   }
   double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
 
-  void post(std::function<void()> Message) {
+  void post(const std::function<void()> &Message) {
     const auto At = [this] {
       return Now + std::chrono::duration_cast<mono_time::duration>(
                        Plan.Delay * (0.5 + draw() / 2));
--- a/tests/admission/rate_ledger_test.cpp
+++ b/tests/admission/rate_ledger_test.cpp
@@ -15,14 +15,15 @@
 
 void PrintTo(const fleet_case &Case, std::ostream *Out) { *Out << Case.Name; }
 
-model_script at(milliseconds Time, std::function<void(fleet_model &)> Action) {
+model_script at(milliseconds Time,
+                const std::function<void(fleet_model &)> &Action) {
   return [=](fleet_model &Fleet, milliseconds Now) {
     if (Now == Time)
       Action(Fleet);
   };
 }
 
-model_script both(model_script First, model_script Second) {
+model_script both(const model_script &First, const model_script &Second) {
   return [=](fleet_model &Fleet, milliseconds Now) {
     First(Fleet, Now);
     Second(Fleet, Now);
