--- a/tests/admission/fleet_model.hpp
+++ b/tests/admission/fleet_model.hpp
@@ -26,8 +26,9 @@
   milliseconds HotShift{2000};
   double Loss = 0; //!< Of messages.
   double Duplicates = 0;
-  milliseconds Delay{1};  //!< Longest, one way.
-  double LedgerSpeed = 1; //!< Of the leader's clock.
+  bool FixedShares = false; //!< The baseline: equal parts, no leader.
+  milliseconds Delay{1};    //!< Longest, one way.
+  double LedgerSpeed = 1;   //!< Of the leader's clock.
   milliseconds Length{20000};
   std::uint64_t Seed = 1;
   //! Called each millisecond, to bring about failures.
@@ -91,6 +92,8 @@
     Host.Sequence = 0;
     Host.Waiting.clear();
     Host.BeatDue = Now;
+    if (Plan.FixedShares)
+      fixShare(Host);
     Registered[nameOf(Number)] = {nameOf(Number), Host.Incarnation, "a"};
   }
 
@@ -112,6 +115,12 @@
     std::deque<mono_time> Waiting;
   };
 
+  void fixShare(host &Host) const {
+    const double Rate = Plan.Rate / Plan.Hosts;
+    const double Depth = Plan.Burst / Plan.Hosts;
+    Host.Quota->bucket("a").apply({"a", 1, Rate, Depth, 0, 0, true},
+                                  Now + Plan.Length, Now);
+  }
   static std::string nameOf(unsigned Number) {
     return "e" + std::to_string(Number);
   }
@@ -187,9 +196,9 @@
       if (draw() >= Plan.HotPart)
         Number =
             std::uniform_int_distribution<unsigned>(0, Plan.Hosts - 1)(Random);
+      while (!Hosts[Number]->Up) // The balancer sends callers elsewhere.
+        Number = (Number + 1) % Plan.Hosts;
       host &Host = *Hosts[Number];
-      if (!Host.Up)
-        continue; // The balancer sends its callers elsewhere.
       ++Result.Arrived;
       account_bucket &Bucket = Host.Quota->bucket("a");
       if (Bucket.admitArrival(Now)) {
@@ -220,7 +229,7 @@
     }
     if (!Host.Waiting.empty())
       Host.Quota->askForMore(Now);
-    if (Now >= Host.BeatDue)
+    if (Now >= Host.BeatDue && !Plan.FixedShares)
       beat(Number);
   }
 
--- a/tests/admission/rate_ledger_test.cpp
+++ b/tests/admission/rate_ledger_test.cpp
@@ -143,5 +143,39 @@
                    drifting(plan(3, cutOf(0, 3, 5s, 10s)), 0.9901)}),
     [](const auto &Info) { return Info.param.Name; });
 
+class fleet_within_rate : public testing::TestWithParam<fleet_case> {};
+
+TEST_P(fleet_within_rate, refuses_less_than_fixed_shares) {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    model_plan Plan = GetParam().Plan;
+    Plan.Seed = Seed;
+    const double ByDemand = fleet_model(Plan).run().refusedPercent();
+    Plan.FixedShares = true;
+    const double Fixed = fleet_model(Plan).run().refusedPercent();
+    std::printf("%s seed %lu: refused within rate: fixed %.3f %%, by demand "
+                "%.3f %%\n",
+                GetParam().Name.c_str(), Seed, Fixed, ByDemand);
+    EXPECT_LT(ByDemand, Fixed / 5);
+    EXPECT_LE(ByDemand, GetParam().MaxRefusedPercent);
+  }
+}
+
+model_script hostLoss() {
+  return both(at(7100ms, [](fleet_model &Fleet) { Fleet.stop(3); }),
+              at(11500ms, [](fleet_model &Fleet) { Fleet.start(3); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_failure, fleet_within_rate,
+    testing::Values(
+        fleet_case{"steady_80_percent", plan(0.8), 0.1},
+        fleet_case{"shifting_90_percent", plan(0.9), 0.2},
+        fleet_case{"host_loss", plan(0.9, hostLoss())},
+        fleet_case{"leader_change_300_ms",
+                   plan(0.9, leaderChange(9500ms, 300ms))},
+        fleet_case{"leader_change_2_s", plan(0.9, leaderChange(9500ms, 2s))},
+        fleet_case{"cut_of_one_host", plan(0.9, cutOf(11, 11, 5s, 10s))}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo
