--- a/src/pomeloswitch/admission/account_ledger.cpp
+++ b/src/pomeloswitch/admission/account_ledger.cpp
@@ -1,7 +1,5 @@
 #include "pomeloswitch/admission/account_ledger.hpp"
 
-#include "pomeloswitch/admission/rate_sharing.hpp"
-
 #include <algorithm>
 #include <cmath>
 
@@ -16,13 +14,9 @@
 //! A share changes only by more than this part of it.
 constexpr double ShareHysteresis = 0.1;
 
-template <typename map, typename projection>
-double sumOf(const map &Holdings, projection Projection) {
-  double Sum = 0;
-  for (const auto &[Host, Holding] : Holdings)
-    Sum += Projection(Holding);
-  return Sum;
-}
+//! How long a division of the rate is used; a new one costs a look at every
+//! host.
+constexpr milliseconds RuleInterval{20};
 
 } // namespace
 
@@ -40,20 +34,29 @@
   return Bound;
 }
 
-double account_ledger::leasedRate() const {
-  return sumOf(Holdings, [](const holding &Each) { return Each.rateBound(); });
-}
-
-double account_ledger::savedBound() const {
-  return sumOf(Holdings, [](const holding &Each) { return Each.savedBound(); });
-}
+//! Brings the sums in line with a holding that is changed in its scope.
+class account_ledger::change_guard {
+public:
+  change_guard(sums &Sums, holding &Holding) : Sums(Sums), Holding(Holding) {
+    add(-1);
+  }
+  ~change_guard() { add(1); }
+  change_guard(const change_guard &) = delete;
+  change_guard &operator=(const change_guard &) = delete;
+
+private:
+  void add(double Sign) {
+    Sums.Rate += Sign * Holding.rateBound();
+    Sums.Saved += Sign * Holding.savedBound();
+    Sums.Burst += Sign * Holding.burstBound();
+  }
 
-double account_ledger::outstandingBurst() const {
-  return sumOf(Holdings, [](const holding &Each) { return Each.burstBound(); });
-}
+  sums &Sums;
+  holding &Holding;
+};
 
 double account_ledger::stored() const {
-  return Central + savedBound() + outstandingBurst();
+  return Central + Leased.Saved + Leased.Burst;
 }
 
 void account_ledger::configure(double NewRate, double NewBurst, mono_time Now) {
@@ -77,7 +80,7 @@
 }
 
 void account_ledger::clip() {
-  const double Room = Burst - savedBound() - outstandingBurst();
+  const double Room = Burst - Leased.Saved - Leased.Burst;
   Central = std::clamp(Central, 0.0, std::max(0.0, Room));
 }
 
@@ -85,15 +88,19 @@
                                  const account_report &Report, mono_time Now) {
   fill(Now);
   holding &Holding = Holdings[Host];
-  std::erase_if(Holding.Issued, [&Report](const issued &Grant) {
-    return Grant.Id < Report.GrantId;
-  });
   const double Returned = Report.BurstReturned - Holding.BurstReturned;
-  Holding.BurstSpent = Report.BurstSpent;
-  Holding.BurstReturned = Report.BurstReturned;
+  const double Unused = Report.Surplus - Holding.SurplusSeen;
+  {
+    const change_guard Guard(Leased, Holding);
+    std::erase_if(Holding.Issued, [&Report](const issued &Grant) {
+      return Grant.Id < Report.GrantId;
+    });
+    Holding.BurstSpent = Report.BurstSpent;
+    Holding.BurstReturned = Report.BurstReturned;
+  }
   Holding.Demand = Report.Demand;
   Holding.Wanted = Report.Wanted;
-  Central += Returned + Report.Surplus - Holding.SurplusSeen;
+  Central += Returned + Unused;
   Holding.SurplusSeen = Report.Surplus;
   clip();
 }
@@ -101,7 +108,10 @@
 void account_ledger::inherit(const host_run &Host,
                              const account_report &Report) {
   holding &Holding = Holdings[Host];
-  Holding.Issued = {{0, Report.RatePerSecond, Report.Depth}};
+  {
+    const change_guard Guard(Leased, Holding);
+    Holding.Issued = {{0, Report.RatePerSecond, Report.Depth}};
+  }
   Holding.Demand = Report.Demand;
   Holding.Wanted = Report.Wanted;
   clip();
@@ -109,7 +119,15 @@
 
 void account_ledger::expire(const host_run &Host, mono_time Now) {
   fill(Now);
-  Holdings.erase(Host);
+  const auto Found = Holdings.find(Host);
+  if (Found == Holdings.end())
+    return;
+  {
+    const change_guard Guard(Leased, Found->second);
+    Found->second = holding();
+  }
+  Holdings.erase(Found);
+  RuleMadeAt = {}; // What it had is divided at once.
 }
 
 bool account_ledger::holds(const host_run &Host) const {
@@ -127,15 +145,15 @@
     Found->second.Demand = Found->second.Wanted = 0;
 }
 
-double account_ledger::targetRate(const host_run &Host) const {
-  std::vector<double> Demands;
-  std::size_t Place = 0;
-  for (const auto &[Each, Holding] : Holdings) {
-    if (Each == Host)
-      Place = Demands.size();
-    Demands.push_back(Holding.Demand);
+double account_ledger::targetRate(double Demand, mono_time Now) {
+  if (Now - RuleMadeAt >= RuleInterval) {
+    std::vector<double> Demands;
+    for (const auto &[Host, Holding] : Holdings)
+      Demands.push_back(Holding.Demand);
+    Rule = ruleFor(Rate, Demands);
+    RuleMadeAt = Now;
   }
-  return shareRate(Rate, Demands)[Place];
+  return Rule.shareOf(Demand);
 }
 
 //! Room for the share's unused part: at least one request at each host, for a
@@ -147,7 +165,7 @@
   const double ByShare =
       std::max(0.0, Most / 2 - HostCount) * Share / std::max(Rate, Share);
   double Depth = 1 + std::floor(std::min(Share * DepthSeconds, ByShare));
-  const double Free = Most - savedBound() + Holding.savedBound();
+  const double Free = Most - Leased.Saved + Holding.savedBound();
   if (Depth + surplusLimit(Depth) > Free)
     Depth = std::floor(Free / 2);
   if (Depth < 1 && Free >= 1)
@@ -163,7 +181,7 @@
   const issued Last = Holding.Issued.empty() ? issued() : Holding.Issued.back();
   const double FreeRate =
       std::max(0.0, Rate - leasedRate()) + Holding.rateBound();
-  double Share = std::min(targetRate(Host), FreeRate);
+  double Share = std::min(targetRate(Holding.Demand, Now), FreeRate);
   if (Share > 0 &&
       std::abs(Share - Last.RatePerSecond) <= ShareHysteresis * Share &&
       Last.RatePerSecond <= FreeRate)
@@ -172,12 +190,17 @@
   if (Depth == 0)
     Share = 0;
   if (Holding.Issued.empty() || Share != Last.RatePerSecond ||
-      Depth != Last.Depth)
+      Depth != Last.Depth) {
+    const change_guard Guard(Leased, Holding);
     Holding.Issued.push_back({NextGrantId++, Share, Depth});
+  }
   clip();
   const double Handed = std::min(Holding.Wanted, std::floor(Central));
   Central -= Handed;
-  Holding.BurstTotal += Handed;
+  {
+    const change_guard Guard(Leased, Holding);
+    Holding.BurstTotal += Handed;
+  }
   account_grant Grant;
   Grant.Account = Account;
   Grant.GrantId = Holding.Issued.back().Id;
--- a/src/pomeloswitch/admission/account_ledger.hpp
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -3,6 +3,7 @@
 #define POMELOSWITCH_ADMISSION_ACCOUNT_LEDGER_HPP
 
 #include "pomeloswitch/admission/account_quota.hpp"
+#include "pomeloswitch/admission/rate_sharing.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 
 #include <cstdint>
@@ -46,12 +47,14 @@
   //! Frees what \p Host held. Call only when its lease has surely run out.
   void expire(const host_run &Host, mono_time Now);
 
+  //! Whether no host holds anything.
+  [[nodiscard]] bool unused() const { return Holdings.empty(); }
   //! Whether \p Host may have some of the rate or the burst.
   [[nodiscard]] bool holds(const host_run &Host) const;
   //! The account gets no requests at \p Host.
   void setIdle(const host_run &Host);
   //! Most that the hosts may be using, requests/s.
-  [[nodiscard]] double leasedRate() const;
+  [[nodiscard]] double leasedRate() const { return Leased.Rate; }
   //! Most that is stored anywhere, requests.
   [[nodiscard]] double stored() const;
 
@@ -78,18 +81,26 @@
     }
   };
 
+  //! Sums over all holdings, kept up to date by change_guard.
+  struct sums {
+    double Rate = 0;
+    double Saved = 0;
+    double Burst = 0;
+  };
+  class change_guard;
+
   void fill(mono_time Now);
   void clip();
-  [[nodiscard]] double targetRate(const host_run &Host) const;
+  double targetRate(double Demand, mono_time Now);
   [[nodiscard]] double targetDepth(const holding &Holding, double Share) const;
-  [[nodiscard]] double savedBound() const;
-  [[nodiscard]] double outstandingBurst() const;
-
   double Rate = 0;
   double Burst = 0;
   double Central = 0; //!< Tokens in the central bucket.
   mono_time FilledAt;
   std::map<host_run, holding> Holdings;
+  sums Leased;
+  share_rule Rule;
+  mono_time RuleMadeAt{};
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -31,7 +31,7 @@
                                       });
     if (Removed)
       Ledger.configure(0, 0, Now);
-    const bool Free = Ledger.stored() <= 0 && Ledger.leasedRate() <= 0;
+    const bool Free = Ledger.unused();
     Entry = Removed && Free ? Ledgers.erase(Entry) : std::next(Entry);
   }
 }
--- a/src/pomeloswitch/admission/rate_sharing.cpp
+++ b/src/pomeloswitch/admission/rate_sharing.cpp
@@ -22,20 +22,20 @@
 
 } // namespace
 
+share_rule ruleFor(double Rate, std::span<const double> Demands) {
+  const double Total = std::accumulate(Demands.begin(), Demands.end(), 0.0);
+  if (Total > Rate)
+    return {1, fairLevel(Rate, Demands)};
+  const double Factor =
+      Total > 0 ? std::min(ShareHeadroom, Rate / Total) : ShareHeadroom;
+  return {Factor, Rate};
+}
+
 std::vector<double> shareRate(double Rate, std::span<const double> Demands) {
-  std::vector<double> Shares(Demands.begin(), Demands.end());
-  const double Total = std::accumulate(Shares.begin(), Shares.end(), 0.0);
-  if (Total <= 0)
-    return Shares;
-  if (Total <= Rate) {
-    const double Factor = std::min(ShareHeadroom, Rate / Total);
-    for (double &Share : Shares)
-      Share *= Factor;
-    return Shares;
-  }
-  const double Level = fairLevel(Rate, Demands);
-  for (double &Share : Shares)
-    Share = std::min(Share, Level);
+  const share_rule Rule = ruleFor(Rate, Demands);
+  std::vector<double> Shares;
+  for (const double Demand : Demands)
+    Shares.push_back(Rule.shareOf(Demand));
   return Shares;
 }
 
