--- a/tests/integration/rates_test.cpp
+++ b/tests/integration/rates_test.cpp
@@ -36,6 +36,7 @@
 
 deployment_plan plan() {
   deployment_plan Plan;
+  Plan.ControlHosts = 3;
   Plan.InventoryJson = inventory();
   for (const std::string Domain : {"a", "b", "c"})
     Plan.Targets.push_back({"registry-" + Domain,
@@ -179,5 +180,19 @@
   EXPECT_EQ(Counts["modest"].RateExceeded, 0U);
 }
 
+TEST_F(rates, lost_leader_mints_nothing) {
+  Counts["greedy"], Counts["modest"];
+  load("greedy", 8, RatePerSecond);
+  load("modest", 2, RatePerSecond / 6);
+  ASSERT_TRUE(
+      waitUntil([&] { return Counts["greedy"].Served > 300; }, seconds(4)));
+  const std::string Leader(Deployment->status().at("leader").as_string());
+  const unsigned Before = Counts["greedy"].Served;
+  Deployment->at(Leader).Process->kill();
+  finish();
+  EXPECT_GE(leastReserve("greedy"), 0);
+  EXPECT_GT(Counts["greedy"].Served, Before + 100);
+}
+
 } // namespace
 } // namespace pomelo::emulator
