--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -222,6 +222,11 @@
            Out->set_version(Result.Version);
            Out->set_message(Result.Message);
            Out->set_index(Index);
+           auto *Claim = Out->mutable_claim();
+           Claim->set_verdict(static_cast<wire::claim_result::verdict_kind>(
+               Result.Claim.Verdict));
+           if (Result.Claim.Answer)
+             writeMessage(*Result.Claim.Answer, *Claim->mutable_answer());
            Link->send(Answer);
          });
 }
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -15,6 +15,7 @@
 //! Without an acknowledgement for this long, every control host is asked.
 constexpr milliseconds LeaderSilence{400};
 constexpr std::size_t MaxUnacknowledged = 64;
+constexpr milliseconds ProposalCheckInterval{20};
 
 } // namespace
 
@@ -28,7 +29,8 @@
                                  std::uint64_t Incarnation,
                                  authority &Authority, callbacks Callbacks)
     : Io(Io), Settings(Settings), Incarnation(Incarnation),
-      Authority(Authority), Callbacks(std::move(Callbacks)), BeatTimer(Io) {
+      Authority(Authority), Callbacks(std::move(Callbacks)), BeatTimer(Io),
+      ProposalTimer(Io) {
   for (const host_address &Address : Settings.ControlHosts) {
     auto Host = std::make_unique<control_host>();
     Host->Id = Address.Id;
@@ -80,6 +82,7 @@
 
 void control_session::stop() {
   BeatTimer.cancel();
+  ProposalTimer.cancel();
   for (const auto &Host : Hosts)
     Host->Dialer->stop();
 }
@@ -97,6 +100,8 @@
     onLogBatch(Host, Message.log_batch());
   else if (Message.has_heartbeat_ack())
     onAck(Host, Message.heartbeat_ack());
+  else if (Message.has_proposal_result())
+    Proposals.complete(Message.proposal_result());
 }
 
 void control_session::applySnapshot(const wire::log_batch &Batch) {
@@ -163,6 +168,33 @@
   return NextSequence;
 }
 
+void control_session::propose(wire::command Command, milliseconds Timeout,
+                              proposal_table::completion Done) {
+  if (!Leader)
+    return Done(nullptr);
+  wire::envelope Message;
+  auto *Proposal = Message.mutable_proposal();
+  *Proposal->mutable_command() = std::move(Command);
+  Proposal->set_request_id(
+      Proposals.add(std::move(Done), steady_clock::now() + Timeout));
+  Leader->Dialer->send(Message);
+  watchProposals();
+}
+
+void control_session::watchProposals() {
+  if (ProposalsWatched || Proposals.empty())
+    return;
+  ProposalsWatched = true;
+  ProposalTimer.expires_after(ProposalCheckInterval);
+  ProposalTimer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    ProposalsWatched = false;
+    Proposals.expire(steady_clock::now());
+    watchProposals();
+  });
+}
+
 void control_session::hurry() { scheduleBeat(HurriedBeat); }
 
 void control_session::scheduleBeat(milliseconds Delay) {
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 #define POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 
+#include "pomeloswitch/entry/proposal_table.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/settings/entry_settings.hpp"
@@ -19,6 +20,7 @@
 #include <vector>
 
 namespace pomelo::wire {
+class command;
 class heartbeat_ack;
 class log_batch;
 class target_report;
@@ -50,6 +52,11 @@
   //! Puts a target's report on the next heartbeat, which is sent soon, and
   //! returns that heartbeat's sequence number.
   std::uint64_t report(const wire::target_report &Report);
+  //! Asks the leader to append \p Command. \p Done is called once: with the
+  //! leader's answer, or with null if none came within \p Timeout; the command
+  //! may then still be committed later.
+  void propose(wire::command Command, std::chrono::milliseconds Timeout,
+               proposal_table::completion Done);
   //! Sends a heartbeat soon rather than at the next interval.
   void hurry();
   void announceStopping() { Stopping = true; }
@@ -67,6 +74,7 @@
   void applySnapshot(const wire::log_batch &Batch);
   void subscribe(control_host &Host);
   void beat();
+  void watchProposals();
   void scheduleBeat(std::chrono::milliseconds Delay);
   void grantAuthority();
 
@@ -89,6 +97,9 @@
   std::uint64_t LeaseIndex = 0;
   steady_time LeaseUntil{};
   std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
+  proposal_table Proposals;
+  boost::asio::steady_timer ProposalTimer;
+  bool ProposalsWatched = false;
   bool Stopping = false;
 };
 
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -17,6 +17,8 @@
 using std::chrono::steady_clock;
 
 constexpr auto StopAnnouncedFor = std::chrono::milliseconds(500);
+constexpr auto RecordsCheckInterval = std::chrono::milliseconds(10);
+constexpr auto RecordsPatience = std::chrono::seconds(2);
 
 std::uint64_t currentIncarnation() {
   return static_cast<std::uint64_t>(
@@ -50,14 +52,18 @@
   Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
     Announcements->onAck(Ack);
   };
-  Session = std::make_unique<control_session>(
-      Io, Settings, currentIncarnation(), Authority, std::move(Callbacks));
+  const std::uint64_t Incarnation = currentIncarnation();
+  Session = std::make_unique<control_session>(Io, Settings, Incarnation,
+                                              Authority, std::move(Callbacks));
+  Records =
+      std::make_unique<log_records>(Io, *Session, Settings.HostId, Incarnation);
   Announcements = std::make_unique<announce_api>(Io, *Session);
   auto CallerAddress = parseEndpoint(Settings.CallerAddress);
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
         Authority, Settings.ClusterSecret, CallerAddress,
         Settings.MaxCallerConnections / Settings.TrafficThreads));
+    Threads.back()->useRecords(*Records);
     CallerAddress = Threads.front()->address();
   }
   AnnounceServer = std::make_unique<simple_server>(
@@ -150,8 +156,21 @@
 }
 
 void entry_host::onThreadIdle() {
-  if (--BusyThreads == 0)
-    finishStop();
+  if (--BusyThreads > 0)
+    return;
+  SettleUntil = steady_clock::now() + RecordsPatience;
+  settleRecords();
+}
+
+//! Lets the ends of claims reach the replicated log.
+void entry_host::settleRecords() {
+  if (Records->idle() || steady_clock::now() >= SettleUntil)
+    return finishStop();
+  StopTimer.expires_after(RecordsCheckInterval);
+  StopTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      settleRecords();
+  });
 }
 
 void entry_host::finishStop() {
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -4,6 +4,7 @@
 
 #include "pomeloswitch/entry/announce_api.hpp"
 #include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/entry/log_records.hpp"
 #include "pomeloswitch/entry/traffic_thread.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/settings/entry_settings.hpp"
@@ -39,6 +40,7 @@
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
   [[nodiscard]] std::string metrics() const;
   void onThreadIdle();
+  void settleRecords();
   void finishStop();
 
   boost::asio::io_context &Io;
@@ -46,12 +48,14 @@
   part_log Log{"entry"};
   authority Authority;
   std::unique_ptr<control_session> Session;
+  std::unique_ptr<log_records> Records;
   std::unique_ptr<announce_api> Announcements;
   std::vector<std::unique_ptr<traffic_thread>> Threads;
   std::unique_ptr<simple_server> AnnounceServer;
   std::unique_ptr<simple_server> OpsServer;
   boost::asio::steady_timer StopTimer;
   std::size_t BusyThreads = 0;
+  steady_time SettleUntil{};
   bool Stopping = false;
 };
 
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -34,6 +34,7 @@
   boost::asio::post(Io, [this, View = std::move(View)] {
     Context.View = View;
     Context.Pool.retain(*View);
+    reportRestarts();
     updateQuiesced();
   });
 }
@@ -57,6 +58,13 @@
       });
 }
 
+void traffic_thread::reportRestarts() {
+  const auto Reports =
+      Context.Breaks.restarted(*Context.View, std::chrono::steady_clock::now());
+  for (const crash_report &Report : Reports)
+    Context.Records->reportCrash(Report, {});
+}
+
 void traffic_thread::updateQuiesced() {
   Quiesced.store(Context.Flights.quiescedIndex(*Context.View),
                  std::memory_order_release);
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -24,6 +24,9 @@
                  std::size_t MaxConnections);
   ~traffic_thread();
 
+  //! Before start(): where the requests' records are kept.
+  void useRecords(request_records &Records) { Context.Records = &Records; }
+
   void start();
 
   //! Any thread: routes by \p View from now on.
@@ -47,6 +50,7 @@
 
 private:
   void updateQuiesced();
+  void reportRestarts();
   void tick();
   void awaitIdle(std::function<void()> OnIdle);
 
--- a/src/pomeloswitch/errors/error_kind.cpp
+++ b/src/pomeloswitch/errors/error_kind.cpp
@@ -44,6 +44,8 @@
                  rs::Unknown, ra::SameIdempotencyKey, 16},
     error_answer{error_kind::OutcomeUnknown, "outcome_unknown", 502,
                  rs::Unknown, ra::SameIdempotencyKey, 16},
+    error_answer{error_kind::AnswerNotKept, "answer_not_kept", 409, rs::Ran,
+                 ra::Never, 16},
     error_answer{error_kind::UpstreamFailed, "upstream_failed", 502, rs::NotRun,
                  ra::AfterDelay, 14},
     error_answer{error_kind::BadSettings, "bad_settings", 400, rs::NotRun,
--- a/src/pomeloswitch/errors/error_kind.hpp
+++ b/src/pomeloswitch/errors/error_kind.hpp
@@ -29,6 +29,7 @@
   PoisonRequest,
   DuplicateInProgress,
   OutcomeUnknown,
+  AnswerNotKept,
   UpstreamFailed,
   BadSettings,
   InvalidChange,
--- /dev/null
+++ b/src/pomeloswitch/http/caller_body.cpp
@@ -0,0 +1,61 @@
+#include "pomeloswitch/http/caller_body.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+
+namespace pomelo {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+std::optional<std::uint64_t> caller_body::length() const {
+  if (whole())
+    return Head.size();
+  const auto Told = Request.content_length();
+  return Told ? std::optional<std::uint64_t>(*Told) : std::nullopt;
+}
+
+asio::awaitable<void> caller_body::readHead() {
+  if (Request.is_done())
+    co_return;
+  const std::uint64_t Expected =
+      Request.content_length().value_or(FingerprintBodyBytes);
+  Head.resize(std::min<std::uint64_t>(Expected, FingerprintBodyBytes));
+  std::size_t Filled = 0;
+  while (!Request.is_done() && Filled < Head.size())
+    Filled += co_await readInto(std::span(Head).subspan(Filled));
+  Head.resize(Filled);
+}
+
+asio::awaitable<std::span<const char>> caller_body::next() {
+  if (Request.is_done() || Cancelled)
+    co_return std::span<const char>();
+  Chunk.resize(RelayChunkBytes);
+  const std::size_t Count = co_await readInto(Chunk);
+  Relayed += Count;
+  co_return std::span<const char>(Chunk.data(), Count);
+}
+
+asio::awaitable<std::size_t> caller_body::readInto(std::span<char> Space) {
+  auto &Body = Request.get().body();
+  Body.data = Space.data();
+  Body.size = Space.size();
+  Caller.expires_after(CallerProgressTimeout);
+  boost::system::error_code Error;
+  co_await http::async_read(Caller, Buffer, Request,
+                            asio::redirect_error(asio::use_awaitable, Error));
+  const bool Ended = !Error || Error == http::error::need_buffer;
+  if (!Ended && !Cancelled)
+    throw boost::system::system_error(Error);
+  co_return Space.size() - Body.size;
+}
+
+void caller_body::cancel() {
+  Cancelled = true;
+  Caller.cancel();
+}
+
+} // namespace pomelo
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -1,14 +1,14 @@
 #include "pomeloswitch/http/exchange.hpp"
 
-#include "pomeloswitch/http/error_response.hpp"
-#include "pomeloswitch/routing/authentication.hpp"
+#include "pomeloswitch/http/answer_relay.hpp"
+#include "pomeloswitch/http/claim_exchange.hpp"
+#include "pomeloswitch/http/crash_check.hpp"
+#include "pomeloswitch/http/readable_watch.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
@@ -25,17 +25,20 @@
 using std::chrono::steady_clock;
 
 constexpr unsigned MaxAttempts = 3;
-constexpr std::uint64_t MaxBufferedBody = RelayChunkBytes;
-constexpr auto CallerProgressTimeout = std::chrono::seconds(30);
+//! A request that costs each target its process must not take a third one.
+constexpr unsigned MaxLostConnections = 2;
 constexpr auto OwnerPollInterval = milliseconds(20);
+//! How long a caller that still sends is listened to after its answer; closing
+//! at once would reset the connection and take the answer away from it.
+constexpr auto LingerTime = std::chrono::seconds(1);
 
 auto redirect(error_code &Error) {
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
-std::int64_t unixMs(std::chrono::system_clock::time_point Time) {
-  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
-      .count();
+[[noreturn]] void closeCaller() {
+  throw boost::system::system_error(
+      make_error_code(boost::system::errc::connection_aborted));
 }
 
 std::string randomId(random_engine &Random, unsigned Words) {
@@ -50,8 +53,8 @@
 exchange::exchange(traffic_context &Context, beast::tcp_stream &Caller,
                    beast::flat_buffer &CallerBuffer,
                    request_stream_parser &Request)
-    : Context(Context), Caller(Caller), CallerBuffer(CallerBuffer),
-      Request(Request), View(Context.View) {}
+    : Context(Context), Caller(Caller), Request(Request), View(Context.View),
+      Body(Caller, CallerBuffer, Request) {}
 
 asio::awaitable<bool> exchange::run() {
   ++Context.Counters.Requests;
@@ -60,55 +63,43 @@
   try {
     co_await serve();
   } catch (const pomelo_error &Failure) {
-    Refusal = Failure;
+    Refusal = truthful(Failure);
   }
+  if (!MightHaveRun)
+    Claim.notRun();
+  if (CallerGone)
+    closeCaller();
   if (Refusal)
-    co_await writeError(Refusal->kind(), Refusal->what());
+    co_await writeError(*Refusal);
+  if (!Request.is_done())
+    co_await lingerForCaller();
   co_return CallerKeepAlive;
 }
 
 asio::awaitable<void> exchange::serve() {
-  Plan = makePlan();
+  if (Context.Stopping)
+    throw pomelo_error(error_kind::Draining, "this entry host is stopping");
+  Plan = makeRequestPlan(Request, *View, Context.ClusterSecret);
   co_await continueIfExpected();
-  co_await bufferSmallBody();
+  co_await Body.readHead();
+  refusePoison();
   bool Answered = false;
+  if (Plan.ClaimKeyHash)
+    Answered = co_await answeredByClaim();
   while (!Answered)
     Answered = co_await attempt();
 }
 
-exchange::plan exchange::makePlan() const {
-  const auto &Header = Request.get();
-  const request_facts Facts{
-      Header.method_string(), Header.target(),
-      [&Header](std::string_view Name) -> std::string_view {
-        return Header[Name];
-      }};
-  if (Context.Stopping)
-    throw pomelo_error(error_kind::Draining, "this entry host is stopping");
-  const route *Route = findRoute(*View->Rules, Facts);
-  if (!Route)
-    throw pomelo_error(error_kind::NoRoute, "no route covers the request");
-  plan Result;
-  Result.Route = *Route;
-  if (Route->Access == route_access::Account)
-    Result.Account = authenticate(*View->Keys, Context.ClusterSecret,
-                                  Header[http::field::authorization])
-                         .Account;
-  if (Route->Key.From != key_source::place::None) {
-    Result.Key = extractKey(Route->Key, Facts);
-    if (!Result.Key)
-      throw pomelo_error(error_kind::MissingKey,
-                         "the request does not carry the key of its service");
-  }
-  if (Request.content_length().value_or(0) > Route->MaxBodyBytes)
-    throw pomelo_error(error_kind::BodyTooLarge,
-                       fmt::format("the body is above the route's limit of {} "
-                                   "bytes",
-                                   Route->MaxBodyBytes));
-  const milliseconds Allowed(Route->DeadlineMs);
-  Result.Deadline = steady_clock::now() + Allowed;
-  Result.DeadlineUnixMs = unixMs(std::chrono::system_clock::now() + Allowed);
-  return Result;
+//! What is true about all attempts together: a refusal after one that may have
+//! run must not say that nothing ran.
+pomelo_error exchange::truthful(const pomelo_error &Failure) const {
+  const bool SaysNotRun =
+      answerFor(Failure.kind()).RunState == run_state::NotRun;
+  if (!MightHaveRun || !SaysNotRun)
+    return Failure;
+  return pomelo_error(
+      error_kind::OutcomeUnknown,
+      fmt::format("an earlier attempt may have run; {}", Failure.what()));
 }
 
 asio::awaitable<void> exchange::continueIfExpected() {
@@ -120,35 +111,44 @@
   co_await http::async_write(Caller, Continue, asio::use_awaitable);
 }
 
-//! A small body is read whole first, so that a slow caller holds no target and
-//! the request can be sent again where that is safe.
-asio::awaitable<void> exchange::bufferSmallBody() {
-  const auto Length = Request.content_length();
-  if (Request.is_done()) {
-    BodyBuffered = true;
-    co_return;
+std::string exchange::fingerprint() const {
+  return fingerprintOf({Plan.Account, Request.get().method_string(),
+                        Request.get().target(), Body.head(), Body.length()});
+}
+
+void exchange::refusePoison() const {
+  const auto &Crashes = Context.View->Crashes;
+  if (!Crashes || Crashes->size() == 0)
+    return;
+  if (Crashes->poisonous(fingerprint(), Context.View->TimeMs))
+    throw pomelo_error(error_kind::PoisonRequest,
+                       "the same request was running when two targets crashed");
+}
+
+//! Claims the request. Returns true if an earlier sending's answer was given.
+asio::awaitable<bool> exchange::answeredByClaim() {
+  claim_request Asked;
+  Asked.Account = Plan.Account;
+  Asked.KeyHash = *Plan.ClaimKeyHash;
+  Asked.Fingerprint = fingerprint();
+  Asked.DeadlineUnixMs = Plan.DeadlineUnixMs;
+  const claim_reply Reply =
+      co_await awaitClaim(*Context.Records, Context.Io.get_executor(), Asked);
+  if (Reply.Verdict == claim_verdict::Granted) {
+    Claim = claimed_run(*Context.Records, std::move(Asked), Reply.Number);
+    co_return false;
   }
-  if (!Length || *Length > MaxBufferedBody)
-    co_return;
-  SmallBody.resize(*Length);
-  auto &Body = Request.get().body();
-  Body.data = SmallBody.data();
-  Body.size = SmallBody.size();
-  Caller.expires_after(CallerProgressTimeout);
-  error_code Error;
-  co_await http::async_read(Caller, CallerBuffer, Request, redirect(Error));
-  if (Error && Error != http::error::need_buffer)
-    throw boost::system::system_error(Error);
-  BodyBuffered = true;
+  co_await writeWhole(answerFromClaim(Reply, Request.get().version()));
+  co_return true;
 }
 
 //! Makes one attempt; returns whether the request has been answered.
 asio::awaitable<bool> exchange::attempt() {
   ++Attempts;
-  Progress = attempt_progress::NothingSent;
+  LastBreak = attempt_break::None;
   std::optional<pomelo_error> Failure;
+  slot_owner Owner;
   try {
-    slot_owner Owner;
     if (Plan.Key)
       Owner = co_await awaitOwner();
     else
@@ -157,26 +157,58 @@
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
     auto Connection =
         co_await Context.Pool.acquire(*Owner.Target, Need, Plan.Deadline);
-    flight_table::flight Flight;
-    if (Plan.Key)
-      Flight = flight_table::flight(Context.Flights, Plan.Route.Service,
-                                    Owner.Slot, Owner.Token);
-    const request_header Header = dispatchHeader(Owner);
-    checkMayDispatch();
-    Connection->Stream.expires_at(Plan.Deadline);
-    co_await sendRequest(*Connection, Header);
-    const bool Reusable = co_await relayAnswer(*Connection);
-    if (Reusable)
-      Connection.keep();
+    co_await dispatch(Owner, Connection);
     co_return true;
   } catch (const pomelo_error &Caught) {
     Failure = Caught;
   }
+  if (CallerGone)
+    closeCaller();
+  if (LastBreak == attempt_break::ConnectionLost)
+    co_await investigate(Owner.Target);
   if (!mayTryAgain(Failure->kind()))
     throw pomelo_error(*Failure);
   co_return false;
 }
 
+asio::awaitable<void> exchange::dispatch(const slot_owner &Owner,
+                                         upstream_loan &Connection) {
+  flight_table::flight Flight;
+  if (Plan.Key)
+    Flight = flight_table::flight(Context.Flights, Plan.Route.Service,
+                                  Owner.Slot, Owner.Token);
+  const request_header Header = dispatchHeader(Owner);
+  checkMayDispatch();
+  target_dispatch Dispatch(*Connection, Body);
+  struct noted_attempt {
+    exchange &Exchange;
+    target_dispatch &Dispatch;
+    bool MightHaveRunBefore;
+    ~noted_attempt() { Exchange.noteAttempt(Dispatch, MightHaveRunBefore); }
+  } Noted{*this, Dispatch, MightHaveRun};
+  MightHaveRun = true;
+  co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
+  // A caller that goes away frees the target. A claimed request runs on to its
+  // end instead, since its caller is expected back for the answer.
+  const readable_watch Watch(Caller.socket(),
+                             [this, &Connection](input_state State) {
+                               CallerGone = State == input_state::Ended;
+                               if (CallerGone && !Claim.held())
+                                 Connection->Stream.close();
+                             });
+  co_await Dispatch.readAnswer(Plan.Deadline);
+  co_await relayAnswer(Connection, Dispatch);
+}
+
+void exchange::noteAttempt(const target_dispatch &Dispatch,
+                           bool MightHaveRunBefore) {
+  if (Dispatch.progress() == attempt_progress::NothingSent)
+    MightHaveRun = MightHaveRunBefore;
+  LastBreak = Dispatch.ending();
+  if (LastBreak == attempt_break::ConnectionLost)
+    ++LostConnections;
+}
+
 //! The owner of the key's slot; while the slot is between owners, waits for
 //! the next one until the deadline.
 asio::awaitable<slot_owner> exchange::awaitOwner() {
@@ -245,156 +277,60 @@
   return headerForTarget(Request.get(), Facts);
 }
 
-void exchange::failAttempt(const std::string &Reason) const {
-  if (Progress == attempt_progress::AnswerBegun)
-    throw boost::system::system_error(
-        make_error_code(boost::system::errc::connection_aborted));
-  throw pomelo_error(Progress == attempt_progress::NothingSent
-                         ? error_kind::UpstreamFailed
-                         : error_kind::OutcomeUnknown,
-                     Reason);
+//! A target that ended its connection without an answer may have crashed over
+//! the request; if so, the fleet is told before the request goes anywhere else.
+asio::awaitable<void> exchange::investigate(routing_target_ptr Target) {
+  const crash_report Report{fingerprint(), Target->Member.TargetId,
+                            Target->Member.Incarnation};
+  const bool Refuses = co_await refusesConnections(Target->Address);
+  if (!Refuses) {
+    Context.Breaks.add(Report, steady_clock::now());
+    co_return;
+  }
+  co_await awaitCrashReport(*Context.Records, Context.Io.get_executor(),
+                            Report);
 }
 
 bool exchange::mayTryAgain(error_kind Kind) const {
   if (Attempts >= MaxAttempts || steady_clock::now() >= Plan.Deadline)
     return false;
-  if (BodyStreamed)
+  if (Body.consumed() || LostConnections >= MaxLostConnections)
     return false;
   if (Kind == error_kind::UpstreamFailed)
     return true;
   return Kind == error_kind::OutcomeUnknown && Plan.Route.Idempotent;
 }
 
-asio::awaitable<void> exchange::sendRequest(upstream_connection &Connection,
-                                            const request_header &Header) {
-  Progress = attempt_progress::Sent;
-  if (!BodyBuffered) {
-    co_await streamBody(Connection, Header);
-    co_return;
-  }
-  using span_body = http::span_body<const char>;
-  http::request<span_body> Message(Header);
-  Message.body() = {SmallBody.data(), SmallBody.size()};
-  if (!SmallBody.empty() || Header.count(http::field::content_length))
-    Message.content_length(SmallBody.size());
-  error_code Error;
-  co_await http::async_write(Connection.Stream, Message, redirect(Error));
-  if (Error)
-    failAttempt("the connection to the target broke while sending");
-}
-
-asio::awaitable<void> exchange::streamBody(upstream_connection &Connection,
-                                           const request_header &Header) {
-  http::request<http::buffer_body> Message(Header);
-  if (!Request.content_length())
-    Message.chunked(true);
-  http::request_serializer<http::buffer_body> Serializer(Message);
-  std::vector<char> Chunk(RelayChunkBytes);
-  std::uint64_t Relayed = 0;
-  error_code Error;
-  Message.body().data = nullptr;
-  Message.body().more = true;
-  co_await http::async_write_header(Connection.Stream, Serializer,
-                                    redirect(Error));
-  BodyStreamed = true;
-  while (!Error && !Serializer.is_done()) {
-    if (!Request.is_done()) {
-      Request.get().body().data = Chunk.data();
-      Request.get().body().size = Chunk.size();
-      Caller.expires_after(CallerProgressTimeout);
-      error_code ReadError;
-      co_await http::async_read(Caller, CallerBuffer, Request,
-                                redirect(ReadError));
-      if (ReadError && ReadError != http::error::need_buffer)
-        throw boost::system::system_error(ReadError);
-      Message.body().data = Chunk.data();
-      Message.body().size = Chunk.size() - Request.get().body().size;
-      Relayed += Message.body().size;
-      if (Relayed > Plan.Route.MaxBodyBytes)
-        throw pomelo_error(error_kind::OutcomeUnknown,
-                           "the body grew above the route's limit");
-    } else {
-      Message.body().data = nullptr;
-      Message.body().size = 0;
-    }
-    Message.body().more = !Request.is_done();
-    co_await http::async_write(Connection.Stream, Serializer, redirect(Error));
-    if (Error == http::error::need_buffer)
-      Error = {};
-  }
-  // A target may answer and close before it has read the whole body; its
-  // answer is then still to be read.
-}
-
-asio::awaitable<bool> exchange::relayAnswer(upstream_connection &Connection) {
-  response_stream_parser Answer;
-  Answer.body_limit(boost::none);
-  if (Request.get().method() == http::verb::head)
-    Answer.skip(true);
-  error_code Error;
-  co_await http::async_read_header(Connection.Stream, Connection.Buffer, Answer,
-                                   redirect(Error));
-  if (Error)
-    failAttempt("the target ended the connection without an answer");
-  const bool NotRun = Answer.get().count(NotRunField) > 0;
-  if (NotRun) {
-    Progress = attempt_progress::NothingSent;
-    failAttempt("the target refused the request without running it");
-  }
-  Progress = attempt_progress::AnswerBegun;
-  const bool Reusable = Answer.keep_alive();
-  co_await relayBody(Connection, Answer);
-  co_return Reusable;
-}
-
-asio::awaitable<void> exchange::relayBody(upstream_connection &Connection,
-                                          response_stream_parser &Answer) {
-  http::response<http::buffer_body> Message(headerForCaller(Answer.get()));
-  const bool Sized = Answer.content_length().has_value();
-  const bool HasBody = !Answer.is_done();
-  if (HasBody && !Sized)
-    Message.chunked(true);
+asio::awaitable<void> exchange::relayAnswer(upstream_loan &Connection,
+                                            target_dispatch &Dispatch) {
   CallerKeepAlive = CallerKeepAlive && Request.is_done();
-  Message.keep_alive(CallerKeepAlive);
-  http::response_serializer<http::buffer_body> Serializer(Message);
-  std::vector<char> Chunk(HasBody ? RelayChunkBytes : 0);
-  Message.body().data = nullptr;
-  Message.body().more = HasBody;
-  Caller.expires_after(CallerProgressTimeout);
-  if (!HasBody) {
-    co_await http::async_write_header(Caller, Serializer, asio::use_awaitable);
-    co_return;
-  }
-  error_code Error;
-  while (!Serializer.is_done()) {
-    if (!Answer.is_done()) {
-      Answer.get().body().data = Chunk.data();
-      Answer.get().body().size = Chunk.size();
-      co_await http::async_read(Connection.Stream, Connection.Buffer, Answer,
-                                redirect(Error));
-      if (Error && Error != http::error::need_buffer)
-        throw boost::system::system_error(Error);
-      Message.body().data = Chunk.data();
-      Message.body().size = Chunk.size() - Answer.get().body().size;
-    } else {
-      Message.body().data = nullptr;
-      Message.body().size = 0;
-    }
-    Message.body().more = !Answer.is_done();
-    Caller.expires_after(CallerProgressTimeout);
-    co_await http::async_write(Caller, Serializer, redirect(Error));
-    if (Error && Error != http::error::need_buffer)
-      throw boost::system::system_error(Error);
+  Connection->Stream.expires_at(Plan.Deadline);
+  answer_relay Relay(Caller, *Connection, Dispatch.answer());
+  if (Claim.held())
+    Relay.keepCopy();
+  co_await Relay.run(CallerKeepAlive);
+  if (Claim.held())
+    Claim.answered(*Relay.takeCopy());
+  CallerGone = CallerGone || Relay.callerLost();
+  const auto &Crashes = Context.View->Crashes;
+  if (Crashes && Crashes->size() > 0) {
+    const std::string Fingerprint = fingerprint();
+    if (Crashes->suspected(Fingerprint))
+      Context.Records->clearSuspect(Fingerprint);
   }
+  if (Dispatch.reusable())
+    Connection.keep();
 }
 
-asio::awaitable<void> exchange::writeError(error_kind Kind,
-                                           std::string_view Message) {
+asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   ++Context.Counters.Refused;
-  if (answerFor(Kind).RunState == run_state::Unknown)
+  if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
     ++Context.Counters.OutcomeUnknown;
-  text_response Response =
-      makeErrorResponse(Kind, Message, Request.get().version());
+  co_await writeWhole(makeErrorResponse(Refusal.kind(), Refusal.what(),
+                                        Request.get().version()));
+}
+
+asio::awaitable<void> exchange::writeWhole(text_response Response) {
   CallerKeepAlive = CallerKeepAlive && Request.is_done();
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
@@ -406,4 +342,13 @@
   co_await http::async_write_header(Caller, Serializer, asio::use_awaitable);
 }
 
+asio::awaitable<void> exchange::lingerForCaller() {
+  error_code Error;
+  Caller.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Error);
+  Caller.expires_after(LingerTime);
+  std::vector<char> Discarded(RelayChunkBytes);
+  while (!Error)
+    co_await Caller.async_read_some(asio::buffer(Discarded), redirect(Error));
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -4,6 +4,8 @@
 
 #include "pomeloswitch/http/flight_table.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
+#include "pomeloswitch/retry/break_watch.hpp"
+#include "pomeloswitch/retry/request_records.hpp"
 #include "pomeloswitch/routing/target_choice.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +57,8 @@
   flight_table Flights;
   random_engine Random;
   traffic_counters Counters;
+  break_watch Breaks;
+  request_records *Records = nullptr; //!< Set before the first request.
   bool Stopping = false;
   std::size_t OpenRequests = 0;
 };
--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -1,13 +1,12 @@
 #include "pomeloswitch/http/upstream_pool.hpp"
 
 #include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/http/readable_watch.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 
 namespace pomelo {
@@ -19,12 +18,11 @@
 constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto ProvenFor = std::chrono::milliseconds(500);
 
-//! Whether the peer has neither closed the connection nor sent unasked bytes.
-bool looksOpen(upstream_connection &Connection) {
-  char Byte = 0;
-  const int Handle = Connection.Stream.socket().native_handle();
-  const auto Count = ::recv(Handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+//! Whether the peer has neither closed the connection nor sent unasked bytes,
+//! which would be taken for the answer to the next request.
+bool quiet(upstream_connection &Connection) {
+  return Connection.Buffer.size() == 0 &&
+         peekInput(Connection.Stream.socket()) == input_state::Nothing;
 }
 
 } // namespace
@@ -83,7 +81,7 @@
       return nullptr;
     auto Connection = std::move(Pool.Idle.back());
     Pool.Idle.pop_back();
-    if (looksOpen(*Connection))
+    if (quiet(*Connection))
       return Connection;
   }
   return nullptr;
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -34,6 +34,8 @@
   View->Inventory = State.inventoryPart();
   View->Rules = State.rulesPart();
   View->Keys = State.keysPart();
+  View->Crashes = State.crashesPart();
+  View->TimeMs = State.timeMs();
   for (const service &Service : View->Inventory->Services)
     View->Services[Service.Name] = {
         Service.Name, State.slotsPart(Service.Name), {}};
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -46,7 +46,8 @@
 cluster_state::cluster_state()
     : Inventory(std::make_shared<inventory>()),
       Rules(std::make_shared<rules>()), Keys(std::make_shared<key_map>()),
-      Targets(std::make_shared<target_map>()) {}
+      Targets(std::make_shared<target_map>()),
+      Crashes(std::make_shared<crash_table>()) {}
 
 apply_result cluster_state::apply(std::uint64_t AtIndex,
                                   const command &Command) {
@@ -56,7 +57,49 @@
     return applyConfig(Command);
   applyMembership(Command);
   applyOwnership(Command);
-  return {std::nullopt, ConfigVersion, {}};
+  applyCrash(Command);
+  return applyClaim(Command);
+}
+
+bool cluster_state::isMember(std::string_view HostId,
+                             std::uint64_t Incarnation) const {
+  const auto Found = EntryHosts.find(HostId);
+  return Found != EntryHosts.end() && Found->second.Incarnation == Incarnation;
+}
+
+apply_result cluster_state::applyClaim(const command &Command) {
+  apply_result Result;
+  Result.Version = ConfigVersion;
+  switch (Command.body_case()) {
+  case command::kClaimRun:
+    Result.Claim =
+        Claims.claim(Command.claim_run(), TimeMs,
+                     [this](std::string_view HostId, std::uint64_t Number) {
+                       return isMember(HostId, Number);
+                     });
+    break;
+  case command::kFinishClaim:
+    Claims.finish(Command.finish_claim());
+    break;
+  case command::kReleaseClaim:
+    Claims.release(Command.release_claim(), TimeMs);
+    break;
+  default:
+    break;
+  }
+  return Result;
+}
+
+void cluster_state::applyCrash(const command &Command) {
+  const bool Reported = Command.has_report_crash();
+  if (!Reported && !Command.has_clear_suspect())
+    return;
+  auto Changed = std::make_shared<crash_table>(*Crashes);
+  if (Reported)
+    Changed->report(Command.report_crash(), TimeMs);
+  else
+    Changed->clear(Command.clear_suspect().fingerprint());
+  Crashes = std::move(Changed);
 }
 
 apply_result cluster_state::applyConfig(const command &Command) {
@@ -297,6 +340,8 @@
     Record->set_version(Result.Version);
     Record->set_message(Result.Message);
   }
+  Claims.writeTo(Snapshot);
+  Crashes->writeTo(Snapshot);
   return Snapshot;
 }
 
@@ -357,6 +402,9 @@
     Result.Message = Record.message();
     State.rememberOperation(Record.operation_id(), Result);
   }
+  State.Claims = claim_table::readFrom(Snapshot);
+  State.Crashes =
+      std::make_shared<crash_table>(crash_table::readFrom(Snapshot));
   return State;
 }
 
--- a/src/pomeloswitch/state/cluster_state.hpp
+++ b/src/pomeloswitch/state/cluster_state.hpp
@@ -9,6 +9,8 @@
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/settings/inventory.hpp"
 #include "pomeloswitch/settings/rules.hpp"
+#include "pomeloswitch/state/claim_table.hpp"
+#include "pomeloswitch/state/crash_table.hpp"
 #include "pomeloswitch/state/slot_table.hpp"
 
 #include <cstdint>
@@ -32,6 +34,7 @@
   std::optional<error_kind> Refusal; //!< Absent when the command was accepted.
   std::uint64_t Version = 0;         //!< Configuration version afterwards.
   std::string Message;
+  claim_table::result Claim = {}; //!< Set for claims.
 
   [[nodiscard]] bool accepted() const { return !Refusal.has_value(); }
 };
@@ -99,6 +102,10 @@
   [[nodiscard]] std::shared_ptr<const slot_table>
   slotsPart(std::string_view Service) const;
 
+  [[nodiscard]] const std::shared_ptr<const crash_table> &crashesPart() const {
+    return Crashes;
+  }
+
   [[nodiscard]] const std::string &inventoryJson() const {
     return InventoryJson;
   }
@@ -123,6 +130,10 @@
   apply_result applyConfig(const wire::command &Command);
   void applyMembership(const wire::command &Command);
   void applyOwnership(const wire::command &Command);
+  [[nodiscard]] bool isMember(std::string_view HostId,
+                              std::uint64_t Incarnation) const;
+  apply_result applyClaim(const wire::command &Command);
+  void applyCrash(const wire::command &Command);
   void fitSlotTables();
   void releaseSlotsOf(const target_member &Target);
   slot_table &mutableSlots(const std::string &Service);
@@ -147,6 +158,8 @@
   name_set TargetsOut;
   std::map<std::string, apply_result> Operations;
   std::deque<std::string> OperationOrder;
+  claim_table Claims;
+  std::shared_ptr<const crash_table> Crashes;
 };
 
 } // namespace pomelo
--- /dev/null
+++ b/tests/http/exchange_test.cpp
@@ -0,0 +1,260 @@
+#include "traffic_fixture.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <gtest/gtest.h>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::seconds;
+using connection = scripted_connection;
+
+const std::string NotRunAnswer = "HTTP/1.1 503 Busy\r\nPomelo-Not-Run: shed\r\n"
+                                 "Content-Length: 0\r\n\r\n";
+
+struct script_case {
+  std::string Name;
+  std::string Target;
+  scripted_target::script Script;
+  int Status = 0;            //!< 0 where the answer must be cut.
+  std::string RunState = {}; //!< Empty for a target's own answer.
+  unsigned MaxRequests = 1;
+};
+
+void PrintTo(const script_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class misbehaving_target : public testing::TestWithParam<script_case> {};
+
+TEST_P(misbehaving_target, is_told_of_truthfully) {
+  const script_case &Case = GetParam();
+  scripted_target Target(Case.Script);
+  traffic_fixture Traffic(Target.address(), 2);
+  const auto Answer = Traffic.call("POST", Case.Target, "body");
+  EXPECT_EQ(Answer.Status, Case.Status) << Answer.Body << Answer.Failure;
+  const auto State = Answer.Header.find("Pomelo-Run-State");
+  EXPECT_EQ(State == Answer.Header.end() ? "" : State->second, Case.RunState);
+  EXPECT_LE(Target.requests(), Case.MaxRequests);
+}
+
+void answerNothing(connection &Connection, unsigned) {
+  Connection.readRequest();
+}
+
+scripted_target::script writes(const std::string &Text) {
+  return [Text](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.write(Text);
+  };
+}
+
+//! Breaks the first connection off and answers on the others.
+scripted_target::script firstBreaksThenWrites(const std::string &Text) {
+  return [Text](connection &Connection, unsigned Number) {
+    if (!Connection.readRequest().empty() && Number > 0)
+      Connection.write(Text);
+  };
+}
+
+const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+INSTANTIATE_TEST_SUITE_P(
+    once, misbehaving_target,
+    testing::Values(
+        script_case{"resets_on_accept", "/once",
+                    [](connection &C, unsigned) { C.reset(); }, 502, "unknown"},
+        script_case{"reads_and_closes", "/once", answerNothing, 502, "unknown"},
+        script_case{"answers_late", "/once",
+                    [](connection &C, unsigned) {
+                      C.readRequest();
+                      C.awaitEnd();
+                    },
+                    502, "unknown"},
+        script_case{"proves_that_it_did_not_run", "/once", writes(NotRunAnswer),
+                    503, "not_run", 2},
+        script_case{"fails_without_a_proof", "/once",
+                    writes("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+                    503},
+        script_case{"answers_half", "/once",
+                    writes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")},
+        script_case{"answers_half_in_chunks", "/once",
+                    writes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n4\r\nhalf\r\n")},
+        script_case{"answers_without_a_length", "/once",
+                    writes("HTTP/1.1 200 OK\r\n\r\nperhaps whole"), 502,
+                    "unknown"},
+        script_case{"answers_nonsense", "/once", writes("nonsense\r\n\r\n"),
+                    502, "unknown"},
+        script_case{"closes_within_the_header", "/once",
+                    writes("HTTP/1.1 200 OK\r\nContent-"), 502, "unknown"},
+        script_case{"changes_the_protocol", "/once",
+                    writes("HTTP/1.1 101 Switching Protocols\r\n\r\n"), 502,
+                    "unknown"},
+        script_case{"answers_after_an_interim_one", "/once",
+                    writes("HTTP/1.1 100 Continue\r\n\r\n" + Whole), 200}));
+
+INSTANTIATE_TEST_SUITE_P(
+    idempotent, misbehaving_target,
+    testing::Values(script_case{"breaks_once", "/idempotent",
+                                firstBreaksThenWrites(Whole), 200, "", 2},
+                    script_case{"breaks_each_time", "/idempotent",
+                                answerNothing, 502, "unknown", 2},
+                    script_case{"breaks_and_then_refuses", "/idempotent",
+                                firstBreaksThenWrites(NotRunAnswer), 502,
+                                "unknown", 2}));
+
+//! Answers each request with its own target and then sends a second answer.
+void answerTwice(connection &Connection, std::chrono::milliseconds Pause) {
+  for (;;) {
+    const std::string Target = Connection.readRequest();
+    if (Target.empty())
+      return;
+    const std::string Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Target.size()) +
+        "\r\n\r\n" + Target;
+    if (Pause.count() == 0) {
+      Connection.write(Answer + Answer);
+      continue;
+    }
+    Connection.write(Answer);
+    std::this_thread::sleep_for(Pause);
+    Connection.write(Answer);
+  }
+}
+
+class unasked_answer
+    : public testing::TestWithParam<std::chrono::milliseconds> {};
+
+TEST_P(unasked_answer, never_reaches_another_request) {
+  scripted_target Target([](connection &Connection, unsigned) {
+    answerTwice(Connection, GetParam());
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  for (int Number = 0; Number < 5; ++Number) {
+    const std::string Path = "/idempotent/" + std::to_string(Number);
+    EXPECT_EQ(Traffic.call("GET", Path).Body, Path);
+    const auto Before = std::chrono::steady_clock::now();
+    emulator::waitUntil(
+        [&] {
+          return std::chrono::steady_clock::now() - Before > 4 * GetParam();
+        },
+        seconds(1));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(at_once_and_late, unasked_answer,
+                         testing::Values(std::chrono::milliseconds(0),
+                                         std::chrono::milliseconds(5)));
+
+TEST(exchange, passes_on_an_answer_that_comes_before_the_upload_ends) {
+  scripted_target Target([](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.write("HTTP/1.1 413 Too large\r\nContent-Length: 4\r\n\r\nfull");
+    // Reads nothing of the body.
+    boost::system::error_code Ignored;
+    Connection.socket().wait(boost::asio::ip::tcp::socket::wait_error, Ignored);
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  const auto Answer =
+      Traffic.call("POST", "/claimed", std::string(16 << 20, 'x'));
+  EXPECT_EQ(Answer.Status, 413) << Answer.Failure;
+  EXPECT_EQ(Answer.Body, "full");
+}
+
+//! A caller that sends a request and then only leaves.
+struct leaving_caller {
+  explicit leaving_caller(const traffic_fixture &Traffic,
+                          const std::string &Target)
+      : Socket(Io) {
+    Socket.connect(parseEndpoint(Traffic.address()));
+    boost::asio::write(
+        Socket, boost::asio::buffer("POST " + Target +
+                                    " HTTP/1.1\r\nHost: h\r\nAuthorization: "
+                                    "Bearer " +
+                                    Traffic.key() +
+                                    "\r\nIdempotency-Key: k\r\n"
+                                    "Content-Length: 0\r\n\r\n"));
+  }
+
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::socket Socket;
+};
+
+TEST(exchange, closes_the_targets_connection_when_the_caller_leaves) {
+  std::atomic<bool> Arrived = false;
+  std::atomic<bool> Ended = false;
+  scripted_target Target([&](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Arrived = true;
+    Connection.awaitEnd();
+    Ended = true;
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  leaving_caller Caller(Traffic, "/once");
+  ASSERT_TRUE(emulator::waitUntil([&] { return Arrived.load(); }, seconds(2)));
+  Caller.Socket.close();
+  EXPECT_TRUE(emulator::waitUntil([&] { return Ended.load(); },
+                                  std::chrono::milliseconds(500)));
+}
+
+TEST(exchange, completes_a_claimed_request_whose_caller_leaves) {
+  std::atomic<bool> Arrived = false;
+  std::atomic<bool> Go = false;
+  scripted_target Target([&](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Arrived = true;
+    emulator::waitUntil([&] { return Go.load(); }, seconds(2));
+    Connection.answer("certificate");
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  leaving_caller Caller(Traffic, "/claimed");
+  ASSERT_TRUE(emulator::waitUntil([&] { return Arrived.load(); }, seconds(2)));
+  Caller.Socket.close();
+  Go = true;
+  EXPECT_TRUE(emulator::waitUntil(
+      [&] { return !Traffic.Records.ends().empty(); }, seconds(2)));
+  EXPECT_EQ(Traffic.Records.ends().front(), "answered certificate");
+}
+
+struct claim_end_case {
+  std::string Name;
+  scripted_target::script Script;
+  std::string End;
+};
+
+void PrintTo(const claim_end_case &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class claim_end : public testing::TestWithParam<claim_end_case> {};
+
+TEST_P(claim_end, is_recorded_as_it_was) {
+  scripted_target Target(GetParam().Script);
+  traffic_fixture Traffic(Target.address(), 2);
+  Traffic.call("POST", "/claimed", "body");
+  EXPECT_TRUE(emulator::waitUntil(
+      [&] { return !Traffic.Records.ends().empty(); }, seconds(2)));
+  EXPECT_EQ(Traffic.Records.ends(), std::vector{GetParam().End});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_end, claim_end,
+    testing::Values(claim_end_case{"answered", writes(Whole), "answered ok"},
+                    claim_end_case{"broken_off", answerNothing, "unknown"},
+                    claim_end_case{"refused", writes(NotRunAnswer), "not run"},
+                    claim_end_case{"half_answered",
+                                   writes("HTTP/1.1 200 OK\r\nContent-Length: "
+                                          "9\r\n\r\nhalf"),
+                                   "unknown"}));
+
+TEST(exchange, sends_nothing_without_a_granted_claim) {
+  scripted_target Target(writes(Whole));
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.Records.Verdict = claim_verdict::None;
+  const auto Answer = Traffic.call("POST", "/claimed", "body");
+  EXPECT_EQ(Answer.Header.at("Pomelo-Error"), "not_authoritative");
+  EXPECT_EQ(Answer.Header.at("Pomelo-Run-State"), "not_run");
+  EXPECT_EQ(Target.requests(), 0U);
+}
+
+} // namespace
+} // namespace pomelo
--- /dev/null
+++ b/tests/http/scripted_target.hpp
@@ -0,0 +1,122 @@
+//! A target whose every step on a connection is written in a test.
+#ifndef POMELOSWITCH_TESTS_HTTP_SCRIPTED_TARGET_HPP
+#define POMELOSWITCH_TESTS_HTTP_SCRIPTED_TARGET_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <string>
+#include <thread>
+
+namespace pomelo {
+
+//! The target's end of one connection, with blocking calls.
+class scripted_connection {
+public:
+  scripted_connection(boost::asio::ip::tcp::socket Socket,
+                      std::atomic<unsigned> &Requests)
+      : Socket(std::move(Socket)), Requests(Requests) {}
+
+  //! The next request's target, or empty once the connection has ended.
+  std::string readRequest() {
+    boost::system::error_code Error;
+    const auto Count = boost::asio::read_until(
+        Socket, boost::asio::dynamic_buffer(Received), "\r\n\r\n", Error);
+    if (Error)
+      return {};
+    ++Requests;
+    const auto First = Received.find(' ') + 1;
+    std::string Target =
+        Received.substr(First, Received.find(' ', First) - First);
+    Received.erase(0, Count);
+    return Target;
+  }
+  void write(const std::string &Text) {
+    boost::system::error_code Ignored;
+    boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
+  }
+  void answer(const std::string &Body) {
+    write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+          "\r\n\r\n" + Body);
+  }
+  void reset() {
+    boost::system::error_code Ignored;
+    Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    Socket.close(Ignored);
+  }
+  //! Waits until the peer ends the connection.
+  void awaitEnd() {
+    while (!readRequest().empty())
+      ;
+  }
+  boost::asio::ip::tcp::socket &socket() { return Socket; }
+
+private:
+  boost::asio::ip::tcp::socket Socket;
+  std::atomic<unsigned> &Requests;
+  std::string Received;
+};
+
+//! Runs the script for each connection on a thread of its own.
+class scripted_target {
+public:
+  //! Gets the connection and its number, from 0.
+  using script = std::function<void(scripted_connection &, unsigned)>;
+
+  explicit scripted_target(script Script)
+      : Script(std::move(Script)),
+        Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Accepting([this] { accept(); }) {}
+  ~scripted_target() {
+    Stopped = true;
+    boost::system::error_code Ignored;
+    boost::asio::ip::tcp::socket Wake(Io);
+    Wake.connect(Acceptor.local_endpoint(), Ignored);
+    Accepting.join();
+    for (auto &Connection : Connections)
+      ::shutdown(Connection.socket().native_handle(), SHUT_RDWR);
+    for (auto &Thread : Threads)
+      Thread.join();
+  }
+
+  [[nodiscard]] boost::asio::ip::tcp::endpoint address() const {
+    return Acceptor.local_endpoint();
+  }
+  //! Requests whose header was read.
+  [[nodiscard]] unsigned requests() const { return Requests; }
+
+private:
+  void accept() {
+    for (;;) {
+      boost::asio::ip::tcp::socket Socket = Acceptor.accept();
+      if (Stopped)
+        return;
+      auto &Connection = Connections.emplace_back(std::move(Socket), Requests);
+      const auto Number = static_cast<unsigned>(Connections.size() - 1);
+      Threads.emplace_back([this, &Connection, Number] {
+        Script(Connection, Number);
+        boost::system::error_code Ignored;
+        Connection.socket().shutdown(
+            boost::asio::ip::tcp::socket::shutdown_both, Ignored);
+      });
+    }
+  }
+
+  script Script;
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::atomic<unsigned> Requests{0};
+  std::atomic<bool> Stopped{false};
+  std::list<scripted_connection> Connections;
+  std::list<std::thread> Threads;
+  std::thread Accepting;
+};
+
+} // namespace pomelo
+
+#endif
--- /dev/null
+++ b/tests/http/traffic_fixture.hpp
@@ -0,0 +1,126 @@
+//! A caller server on a thread of its own, with scripted targets behind it.
+#ifndef POMELOSWITCH_TESTS_HTTP_TRAFFIC_FIXTURE_HPP
+#define POMELOSWITCH_TESTS_HTTP_TRAFFIC_FIXTURE_HPP
+
+#include "emulator/child_process.hpp"
+#include "emulator/http_call.hpp"
+#include "pomeloswitch/http/caller_server.hpp"
+#include "pomeloswitch/routing/authentication.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
+#include "scripted_target.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace pomelo {
+
+//! Grants every claim at once and keeps what is recorded.
+class fake_records final : public request_records {
+public:
+  void claim(claim_request, std::function<void(claim_reply)> Done) override {
+    Done({Verdict, nullptr, 1});
+  }
+  void finish(const claim_request &, std::uint64_t,
+              std::optional<kept_answer> Answer) override {
+    const std::lock_guard Lock(Mutex);
+    Ends.push_back(Answer ? "answered " + Answer->Body : "unknown");
+  }
+  void release(const claim_request &, std::uint64_t) override {
+    const std::lock_guard Lock(Mutex);
+    Ends.emplace_back("not run");
+  }
+  void reportCrash(crash_report, std::function<void()> Done) override {
+    if (Done)
+      Done();
+  }
+  void clearSuspect(std::string) override {}
+
+  std::vector<std::string> ends() {
+    const std::lock_guard Lock(Mutex);
+    return Ends;
+  }
+
+  claim_verdict Verdict = claim_verdict::Granted;
+
+private:
+  std::mutex Mutex;
+  std::vector<std::string> Ends;
+};
+
+//! Routes /idempotent and /once, open to all, and /claimed for an account.
+class traffic_fixture {
+public:
+  //! The service has \p Members targets, all of them at \p Address.
+  traffic_fixture(const boost::asio::ip::tcp::endpoint &Address,
+                  unsigned Members)
+      : Key(mintAccountKey(Secret, "1")), Context(Io, Authority, Secret),
+        Server(Context, {boost::asio::ip::address_v4::loopback(), 0}, 100) {
+    Authority.extendTo(std::chrono::steady_clock::now() +
+                       std::chrono::hours(1));
+    Context.View = makeView(Address, Members);
+    Context.Records = &Records;
+    Thread = std::thread([this] { Io.run(); });
+  }
+  ~traffic_fixture() {
+    Io.stop();
+    Thread.join();
+  }
+
+  emulator::http_answer call(const std::string &Method,
+                             const std::string &Target,
+                             const std::string &Body = {}) {
+    return emulator::call(address(), {Method,
+                                      Target,
+                                      {{"Authorization", "Bearer " + Key.Text},
+                                       {"Idempotency-Key", "k"}},
+                                      Body,
+                                      std::chrono::seconds(5)});
+  }
+  [[nodiscard]] std::string address() const {
+    return toString(Server.address());
+  }
+  [[nodiscard]] const std::string &key() const { return Key.Text; }
+
+  fake_records Records;
+
+private:
+  static constexpr std::string_view Rules = R"({"routes": [
+    {"name": "idempotent", "path_prefix": "/idempotent", "service": "s",
+     "access": "open", "idempotent": true, "deadline_ms": 800},
+    {"name": "once", "path_prefix": "/once", "service": "s",
+     "access": "open", "deadline_ms": 800},
+    {"name": "claimed", "path_prefix": "/claimed", "service": "s",
+     "deadline_ms": 2000}]})";
+
+  std::shared_ptr<const routing_view>
+  makeView(const boost::asio::ip::tcp::endpoint &Address, unsigned Members) {
+    auto View = std::make_shared<routing_view>();
+    View->Rules = std::make_shared<rules>(parseRules(Rules));
+    View->Keys = std::make_shared<key_map>(
+        key_map{{Key.Id, account_key{"large", Key.Hash, false}}});
+    routing_service &Service = View->Services["s"];
+    for (unsigned Number = 0; Number < Members; ++Number) {
+      auto Target = std::make_shared<routing_target>();
+      Target->Member.TargetId = "t" + std::to_string(Number);
+      Target->Address = Address;
+      Target->ConnectionShare = 8;
+      Service.Targets.push_back(Target);
+    }
+    return View;
+  }
+
+  static inline const std::string Secret = "cluster secret";
+  minted_key Key;
+  boost::asio::io_context Io{1};
+  authority Authority;
+  traffic_context Context;
+  caller_server Server;
+  std::thread Thread;
+};
+
+} // namespace pomelo
+
+#endif
