--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -35,6 +35,7 @@
 private:
   entry_host(boost::asio::io_context &Io, entry_settings Settings);
 
+  control_session::callbacks makeCallbacks();
   void onState(const cluster_state &State);
   [[nodiscard]] std::uint64_t quiescedIndex() const;
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
@@ -47,6 +48,7 @@
   entry_settings Settings;
   part_log Log{"entry"};
   authority Authority;
+  host_quota Quota;
   std::unique_ptr<control_session> Session;
   std::unique_ptr<log_records> Records;
   std::unique_ptr<announce_api> Announcements;
--- a/src/pomeloswitch/entry/log_records.cpp
+++ b/src/pomeloswitch/entry/log_records.cpp
@@ -125,7 +125,7 @@
   });
 }
 
-void log_records::attempt(command_ptr Command, steady_time GiveUpAt,
+void log_records::attempt(const command_ptr &Command, steady_time GiveUpAt,
                           answer_handler Done) {
   const auto Left =
       std::chrono::duration_cast<milliseconds>(GiveUpAt - steady_clock::now());
@@ -139,15 +139,14 @@
       });
 }
 
-void log_records::attemptLater(command_ptr Command, steady_time GiveUpAt,
+void log_records::attemptLater(const command_ptr &Command, steady_time GiveUpAt,
                                answer_handler Done) {
   auto Timer = std::make_shared<boost::asio::steady_timer>(Io, RetryPause);
-  Timer->async_wait(
-      [this, Timer, Command = std::move(Command), GiveUpAt,
-       Done = std::move(Done)](boost::system::error_code Error) mutable {
-        if (!Error)
-          attempt(std::move(Command), GiveUpAt, std::move(Done));
-      });
+  Timer->async_wait([this, Timer, Command, GiveUpAt, Done = std::move(Done)](
+                        boost::system::error_code Error) mutable {
+    if (!Error)
+      attempt(Command, GiveUpAt, std::move(Done));
+  });
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/entry/log_records.hpp
+++ b/src/pomeloswitch/entry/log_records.hpp
@@ -50,8 +50,9 @@
                  wire::claim_name &Name) const;
   void settle(command_ptr Command, std::chrono::milliseconds GiveUpAfter,
               answer_handler Done);
-  void attempt(command_ptr Command, steady_time GiveUpAt, answer_handler Done);
-  void attemptLater(command_ptr Command, steady_time GiveUpAt,
+  void attempt(const command_ptr &Command, steady_time GiveUpAt,
+               answer_handler Done);
+  void attemptLater(const command_ptr &Command, steady_time GiveUpAt,
                     answer_handler Done);
 
   boost::asio::io_context &Io;
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,13 +11,13 @@
 
 } // namespace
 
-traffic_thread::traffic_thread(const authority &Authority,
+traffic_thread::traffic_thread(host_quota &Quota,
                                const std::string &ClusterSecret,
                                const boost::asio::ip::tcp::endpoint &Address,
-                               std::size_t MaxConnections)
+                               caller_limits Limits)
     : Work(boost::asio::make_work_guard(Io)),
-      Context(Io, Authority, ClusterSecret),
-      Server(Context, Address, MaxConnections), Ticker(Io), IdleTimer(Io) {}
+      Context(Io, Authority, Quota, ClusterSecret),
+      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {}
 
 traffic_thread::~traffic_thread() {
   Io.stop();
@@ -39,6 +39,10 @@
   });
 }
 
+void traffic_thread::extendAuthority(steady_time Until) {
+  boost::asio::post(Io, [this, Until] { Authority.extendTo(Until); });
+}
+
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
   boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
     Context.Stopping = true;
@@ -66,7 +70,8 @@
 }
 
 void traffic_thread::updateQuiesced() {
-  Quiesced.store(Context.Flights.quiescedIndex(*Context.View),
+  Quiesced.store(Context.Flights.quiescedIndex(
+                     *Context.View, std::chrono::steady_clock::now()),
                  std::memory_order_release);
 }
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/http/exchange.hpp"
 
+#include "pomeloswitch/http/account_admission.hpp"
 #include "pomeloswitch/http/answer_relay.hpp"
 #include "pomeloswitch/http/claim_exchange.hpp"
 #include "pomeloswitch/http/crash_check.hpp"
@@ -80,6 +81,8 @@
   if (Context.Stopping)
     throw pomelo_error(error_kind::Draining, "this entry host is stopping");
   Plan = makeRequestPlan(Request, *View, Context.ClusterSecret);
+  if (Plan.Route.Access == route_access::Account)
+    co_await admitToAccount(Context, Plan.Account, Plan.Deadline);
   co_await continueIfExpected();
   co_await Body.readHead();
   refusePoison();
@@ -146,7 +149,9 @@
 asio::awaitable<bool> exchange::attempt() {
   ++Attempts;
   LastBreak = attempt_break::None;
+  LastProgress = attempt_progress::NothingSent;
   std::optional<pomelo_error> Failure;
+  flight_table::flight Flight;
   slot_owner Owner;
   try {
     if (Plan.Key)
@@ -157,11 +162,14 @@
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
     auto Connection =
         co_await Context.Pool.acquire(*Owner.Target, Need, Plan.Deadline);
-    co_await dispatch(Owner, Connection);
+    co_await dispatch(Owner, Connection, Flight);
+    Flight.settled();
     co_return true;
   } catch (const pomelo_error &Caught) {
     Failure = Caught;
   }
+  if (LastProgress == attempt_progress::NothingSent)
+    Flight.settled();
   if (CallerGone)
     closeCaller();
   if (LastBreak == attempt_break::ConnectionLost)
@@ -172,13 +180,14 @@
 }
 
 asio::awaitable<void> exchange::dispatch(const slot_owner &Owner,
-                                         upstream_loan &Connection) {
-  flight_table::flight Flight;
+                                         upstream_loan &Connection,
+                                         flight_table::flight &Flight) {
   if (Plan.Key)
-    Flight = flight_table::flight(Context.Flights, Plan.Route.Service,
-                                  Owner.Slot, Owner.Token);
+    Flight = flight_table::flight(
+        Context.Flights, Plan.Route.Service, Owner.Slot, Owner.Token,
+        {!Owner.Target->Member.ChecksFence, Plan.Deadline});
   const request_header Header = dispatchHeader(Owner);
-  checkMayDispatch();
+  checkMayDispatch(Owner);
   target_dispatch Dispatch(*Connection, Body);
   struct noted_attempt {
     exchange &Exchange;
@@ -202,7 +211,8 @@
 
 void exchange::noteAttempt(const target_dispatch &Dispatch,
                            bool MightHaveRunBefore) {
-  if (Dispatch.progress() == attempt_progress::NothingSent)
+  LastProgress = Dispatch.progress();
+  if (LastProgress == attempt_progress::NothingSent)
     MightHaveRun = MightHaveRunBefore;
   LastBreak = Dispatch.ending();
   if (LastBreak == attempt_break::ConnectionLost)
@@ -250,7 +260,7 @@
 
 //! The last check before the first byte goes out: a process that was paused
 //! must not send under a right that has run out.
-void exchange::checkMayDispatch() const {
+void exchange::checkMayDispatch(const slot_owner &Owner) const {
   const auto Now = steady_clock::now();
   if (Now >= Plan.Deadline)
     throw pomelo_error(error_kind::DeadlineExceeded,
@@ -261,6 +271,10 @@
   if (Now >= Until)
     throw pomelo_error(error_kind::NotAuthoritative,
                        "this entry host has lost touch with the control group");
+  // Waiting for a connection may have outlived the view that named the target.
+  if (!mayStillSend(*Context.View, Plan.Route.Service, Owner))
+    throw pomelo_error(error_kind::UpstreamFailed,
+                       "the target gave up this work before it was sent");
 }
 
 request_header exchange::dispatchHeader(const slot_owner &Owner) {
@@ -327,7 +341,8 @@
   if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
     ++Context.Counters.OutcomeUnknown;
   co_await writeWhole(makeErrorResponse(Refusal.kind(), Refusal.what(),
-                                        Request.get().version()));
+                                        Request.get().version(),
+                                        Refusal.retryAfter()));
 }
 
 asio::awaitable<void> exchange::writeWhole(text_response Response) {
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -39,10 +39,11 @@
   boost::asio::awaitable<bool> answeredByClaim();
   boost::asio::awaitable<bool> attempt();
   boost::asio::awaitable<void> dispatch(const slot_owner &Owner,
-                                        upstream_loan &Connection);
+                                        upstream_loan &Connection,
+                                        flight_table::flight &Flight);
   boost::asio::awaitable<slot_owner> awaitOwner();
   routing_target_ptr chooseTarget();
-  void checkMayDispatch() const;
+  void checkMayDispatch(const slot_owner &Owner) const;
   request_header dispatchHeader(const slot_owner &Owner);
   boost::asio::awaitable<void> relayAnswer(upstream_loan &Connection,
                                            target_dispatch &Dispatch);
@@ -62,6 +63,7 @@
   caller_body Body;
   claimed_run Claim;
   bool MightHaveRun = false; //!< In any attempt so far.
+  attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_break LastBreak = attempt_break::None;
   unsigned Attempts = 0;
   unsigned LostConnections = 0; //!< Attempts that a target broke off.
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -56,10 +56,14 @@
   //! The service has \p Members targets, all of them at \p Address.
   traffic_fixture(const boost::asio::ip::tcp::endpoint &Address,
                   unsigned Members)
-      : Key(mintAccountKey(Secret, "1")), Context(Io, Authority, Secret),
-        Server(Context, {boost::asio::ip::address_v4::loopback(), 0}, 100) {
+      : Key(mintAccountKey(Secret, "1")), Context(Io, Authority, Quota, Secret),
+        Server(Context, {boost::asio::ip::address_v4::loopback(), 0}, {}) {
     Authority.extendTo(std::chrono::steady_clock::now() +
                        std::chrono::hours(1));
+    const auto Now = std::chrono::steady_clock::now();
+    Quota.bucket("large");
+    Quota.apply(1, {1, 1, false, {{"large", 1, 1000, 100, 1000, 0, false}}},
+                Now + std::chrono::hours(1), Now);
     Context.View = makeView(Address, Members);
     Context.Records = &Records;
     Thread = std::thread([this] { Io.run(); });
@@ -107,6 +111,7 @@
       Target->Member.TargetId = "t" + std::to_string(Number);
       Target->Address = Address;
       Target->ConnectionShare = 8;
+      View->Targets[Target->Member.TargetId] = Target;
       Service.Targets.push_back(Target);
     }
     return View;
@@ -116,6 +121,7 @@
   minted_key Key;
   boost::asio::io_context Io{1};
   authority Authority;
+  host_quota Quota{[] {}};
   traffic_context Context;
   caller_server Server;
   std::thread Thread;
