--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,12 +11,13 @@
 
 } // namespace
 
-traffic_thread::traffic_thread(const std::string &ClusterSecret,
+traffic_thread::traffic_thread(host_quota &Quota,
+                               const std::string &ClusterSecret,
                                const std::string &FailureDomain,
                                const boost::asio::ip::tcp::endpoint &Address,
                                caller_limits Limits)
     : Work(boost::asio::make_work_guard(Io)),
-      Context(Io, Authority, ClusterSecret, FailureDomain),
+      Context(Io, Authority, Quota, ClusterSecret, FailureDomain),
       Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {}
 
 traffic_thread::~traffic_thread() {
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -19,7 +19,7 @@
 
 class traffic_thread {
 public:
-  traffic_thread(const std::string &ClusterSecret,
+  traffic_thread(host_quota &Quota, const std::string &ClusterSecret,
                  const std::string &FailureDomain,
                  const boost::asio::ip::tcp::endpoint &Address,
                  caller_limits Limits);
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/http/exchange.hpp"
 
+#include "pomeloswitch/http/account_admission.hpp"
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 
@@ -29,6 +30,8 @@
 constexpr std::uint64_t MaxBufferedBody = RelayChunkBytes;
 constexpr auto CallerProgressTimeout = std::chrono::seconds(30);
 constexpr auto OwnerPollInterval = milliseconds(20);
+//! A new leader grants leases anew within this time.
+constexpr auto MaxLeaseWait = milliseconds(500);
 //! A key is served again within 4 s of a loss; past this, waiting is in vain.
 constexpr auto MaxOwnerWait = std::chrono::seconds(5);
 
@@ -69,12 +72,16 @@
     Refusal = Failure;
   }
   if (Refusal)
-    co_await writeError(Refusal->kind(), Refusal->what());
+    co_await writeError(*Refusal);
   co_return CallerKeepAlive;
 }
 
 asio::awaitable<void> exchange::serve() {
   Plan = makePlan();
+  if (Plan.Route.Access == route_access::Account) {
+    co_await awaitLease();
+    co_await admitToAccount(Context, Plan.Account, Plan.Deadline);
+  }
   co_await continueIfExpected();
   co_await bufferSmallBody();
   bool Answered = false;
@@ -188,6 +195,21 @@
   co_return false;
 }
 
+//! Bridges a change of leader. The account's rate is leased too, so that
+//! without this a host that is cut off would blame the account for it.
+asio::awaitable<void> exchange::awaitLease() {
+  asio::steady_timer Timer(Context.Io);
+  const auto GiveUp =
+      std::min(Plan.Deadline, steady_clock::now() + MaxLeaseWait);
+  for (auto Now = steady_clock::now(); !Context.Authority.valid(Now);
+       Now = steady_clock::now()) {
+    if (Now >= GiveUp)
+      throw pomelo_error(error_kind::NotAuthoritative, LostTouch);
+    Timer.expires_after(OwnerPollInterval);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
 //! The owner of the key's slot; while the slot is between owners, waits for
 //! the next one until the deadline.
 asio::awaitable<slot_owner> exchange::awaitOwner() {
@@ -416,13 +438,13 @@
   }
 }
 
-asio::awaitable<void> exchange::writeError(error_kind Kind,
-                                           std::string_view Message) {
+asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   ++Context.Counters.Refused;
-  if (answerFor(Kind).RunState == run_state::Unknown)
+  if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
     ++Context.Counters.OutcomeUnknown;
   text_response Response =
-      makeErrorResponse(Kind, Message, Request.get().version());
+      makeErrorResponse(Refusal.kind(), Refusal.what(), Request.get().version(),
+                        Refusal.retryAfter());
   CallerKeepAlive = CallerKeepAlive && Request.is_done();
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -57,6 +57,7 @@
   boost::asio::awaitable<void> continueIfExpected();
   boost::asio::awaitable<void> bufferSmallBody();
   boost::asio::awaitable<bool> attempt();
+  boost::asio::awaitable<void> awaitLease();
   boost::asio::awaitable<slot_owner> awaitOwner();
   routing_target_ptr chooseTarget();
   void checkMayDispatch(const slot_owner &Owner) const;
@@ -68,8 +69,7 @@
   boost::asio::awaitable<bool> relayAnswer(upstream_connection &Connection);
   boost::asio::awaitable<void> relayBody(upstream_connection &Connection,
                                          response_stream_parser &Answer);
-  boost::asio::awaitable<void> writeError(error_kind Kind,
-                                          std::string_view Message);
+  boost::asio::awaitable<void> writeError(const pomelo_error &Refusal);
   [[noreturn]] void failAttempt(const std::string &Reason) const;
   [[nodiscard]] bool mayTryAgain(error_kind Kind) const;
 
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -16,7 +16,7 @@
 using std::chrono::steady_clock;
 
 constexpr auto Withdrawal = seconds(4);
-constexpr auto IsolationMs = 2500;
+constexpr auto IsolationMs = 4000;
 
 //! The standard rules with a short isolation time, and a distinguishing one.
 std::string rulesWith(int Isolation) {
@@ -202,13 +202,11 @@
   EXPECT_TRUE(Refused("/reports/r1"));
   for (int Call = 0; Call < 10; ++Call) {
     const auto Open = get("/public/x");
-    if (Refused("/public/x"))
-      break; // The isolation time is over.
     ASSERT_EQ(Open.Status, 200) << Open.Body;
     EXPECT_EQ(boost::json::parse(Open.Body).at("target").as_string(),
               "registry-a");
   }
-  EXPECT_TRUE(waitUntil([&] { return Refused("/public/x"); }, seconds(6)));
+  EXPECT_TRUE(waitUntil([&] { return Refused("/public/x"); }, seconds(8)));
   Deployment->at("c1").Process->resume();
   EXPECT_TRUE(
       waitUntil([&] { return get("/reports/r1").Status == 200; }, seconds(4)));
