--- a/tests/integration/ownership_test.cpp
+++ b/tests/integration/ownership_test.cpp
@@ -266,6 +266,37 @@
   expectOneOwner();
 }
 
+//! Targets that do not check the fence and work long, so that a hand-over that
+//! does not wait for what is in flight shows as an overlap.
+TEST_F(ownership, hands_over_only_when_requests_in_flight_have_ended) {
+  deployment_plan Plan;
+  Plan.FailureDomains = {"a", "b"};
+  for (const std::string Domain : {"a", "b"})
+    Plan.Targets.push_back({"trusts-" + Domain,
+                            "archive",
+                            Domain,
+                            {"--work-us=300000", "--slots=32"}});
+  Deployment = deployment::builder().withPlan(Plan).build();
+  Key = Deployment->issueKey("large");
+  std::vector<std::string> Addresses;
+  for (int Caller = 0; Caller < 6; ++Caller)
+    for (const auto &Address : Deployment->callerAddresses())
+      Addresses.push_back(Address);
+  callers Callers(Addresses, Key);
+  for (const std::string Way : {"out", "in", "out"}) {
+    const auto Before = Callers.served();
+    EXPECT_TRUE(
+        waitUntil([&] { return Callers.served() > Before + 30; }, seconds(10)));
+    ASSERT_EQ(Deployment->ctl({"target", Way, "trusts-a"}).ExitCode, 0);
+  }
+  const auto MovedUs = nowUs();
+  EXPECT_TRUE(waitUntil(
+      [&] { return !startedSince("trusts-b", MovedUs + 1'000'000).empty(); },
+      seconds(10)));
+  Callers.stop();
+  expectOneOwner();
+}
+
 //! Runs of the recovery measurements; the variable RECOVERY_RUNS sets it.
 int recoveryRuns() {
   const char *Value = std::getenv("RECOVERY_RUNS");
