--- a/src/pomeloswitch/raft/raft_core.cpp
+++ b/src/pomeloswitch/raft/raft_core.cpp
@@ -192,6 +192,10 @@
   Taken.LastIndex = Log.lastIndex();
   Taken.LastTerm = Log.lastTerm();
   Taken.Term = term();
+  for (wire::raft_message &Message : Taken.SendAfter) {
+    Message.set_durable_index(Taken.LastIndex);
+    Message.set_durable_term(Taken.LastTerm);
+  }
   return Taken;
 }
 
