--- a/src/pomeloswitch/control/control_group_api.cpp
+++ b/src/pomeloswitch/control/control_group_api.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds CommitPoll{5};
 
 std::string addressField(const json::object &Body) {
-  const std::string Address = requiredText(Body, "address");
+  std::string Address = requiredText(Body, "address");
   try {
     parseEndpoint(Address);
   } catch (const pomelo_error &Failure) {
--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -64,6 +64,7 @@
   makeChanges(const std::string &Series, int Count,
               const std::string &Without = {}) {
     std::vector<acknowledged_change> Made;
+    Made.reserve(static_cast<std::size_t>(Count));
     admin_client Client = client(Without);
     for (int Number = 0; Number < Count; ++Number)
       Made.push_back(change(Client, fmt::format("{}-{}", Series, Number)));
