--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -1,12 +1,15 @@
 #include "pomeloswitch/control/control_host.hpp"
 
+#include "pomeloswitch/admission/quota_codec.hpp"
 #include "pomeloswitch/membership/member_planner.hpp"
+#include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 
 namespace pomelo {
 namespace {
@@ -24,6 +27,12 @@
           .count());
 }
 
+//! Tells this term's quota grants from those of every other.
+std::uint64_t randomTerm() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) | Device();
+}
+
 } // namespace
 
 //! What a control host keeps about one link.
@@ -61,7 +70,8 @@
                            control_settings GivenSettings,
                            std::unique_ptr<replicated_log> GivenLog)
     : Io(Io), Settings(std::move(GivenSettings)), Log(std::move(GivenLog)),
-      Leases(lease_times()), Planner(planner_limits()), Ticker(Io) {
+      Leases(lease_times()), Rates(Leases.times()), Planner(planner_limits()),
+      Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -116,8 +126,10 @@
   };
   Applier.OnLeadership = [this](bool Leading) {
     PlannedInFlight = 0;
-    if (Leading)
+    if (Leading) {
       Leases.startTerm(State, steady_clock::now());
+      Rates.startTerm(randomTerm(), steady_clock::now());
+    }
     Text.info("{} {} lead.", Settings.HostId,
               Leading ? "begins to" : "ceases to");
   };
@@ -179,7 +191,7 @@
   Host.QuiescedIndex = Beat.quiesced_index();
   Host.Stopping = Beat.stopping();
   Host.HeardAt = Now;
-  if (!Leases.hostHeard(std::move(Host)))
+  if (!Leases.hostHeard(std::move(Host), Log->commitIndex()))
     return;
   // Only a member's lease is waited for when slots move, so only a member
   // gets one.
@@ -204,12 +216,23 @@
     Target.TakenIndex = Report.taken_index();
     Target.SettledIndex = Report.settled_index();
     Target.HeardAt = Now;
-    Leases.targetHeard(Target);
-    Ack->add_targets(Joined.target_id());
+    if (Leases.targetHeard(Target, Log->commitIndex()))
+      Ack->add_targets(reportId(Joined));
   }
+  answerQuota(Beat, Now, *Ack);
   Link->send(Answer);
 }
 
+void control_host::answerQuota(const wire::heartbeat &Beat, mono_time Now,
+                               wire::heartbeat_ack &Ack) {
+  const auto Grant = Rates.answer({Beat.host_id(), Beat.incarnation()},
+                                  decode(Beat.quota(), Beat.sequence()),
+                                  State.inventoryPart()->ClientAccounts,
+                                  State.entryHosts(), Now);
+  if (Grant)
+    encode(*Grant, *Ack.mutable_quota());
+}
+
 void control_host::onProposal(const std::shared_ptr<peer_link> &Link,
                               const wire::proposal &Proposal) {
   const std::uint64_t RequestId = Proposal.request_id();
@@ -278,6 +301,7 @@
   if (!Log->leadershipConfirmed() || PlannedInFlight > 0)
     return;
   const mono_time Now = steady_clock::now();
+  Leases.forgetExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
   std::vector<wire::command> Moves = Planner.plan(State, Leases, Now);
   std::move(Moves.begin(), Moves.end(), std::back_inserter(Commands));
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/http/exchange.hpp"
 
+#include "pomeloswitch/http/account_admission.hpp"
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 
@@ -63,12 +64,14 @@
     Refusal = Failure;
   }
   if (Refusal)
-    co_await writeError(Refusal->kind(), Refusal->what());
+    co_await writeError(*Refusal);
   co_return CallerKeepAlive;
 }
 
 asio::awaitable<void> exchange::serve() {
   Plan = makePlan();
+  if (Plan.Route.Access == route_access::Account)
+    co_await admitToAccount(Context, Plan.Account, Plan.Deadline);
   co_await continueIfExpected();
   co_await bufferSmallBody();
   bool Answered = false;
@@ -147,6 +150,7 @@
   ++Attempts;
   Progress = attempt_progress::NothingSent;
   std::optional<pomelo_error> Failure;
+  flight_table::flight Flight;
   try {
     slot_owner Owner;
     if (Plan.Key)
@@ -157,21 +161,24 @@
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
     auto Connection =
         co_await Context.Pool.acquire(*Owner.Target, Need, Plan.Deadline);
-    flight_table::flight Flight;
     if (Plan.Key)
-      Flight = flight_table::flight(Context.Flights, Plan.Route.Service,
-                                    Owner.Slot, Owner.Token);
+      Flight = flight_table::flight(
+          Context.Flights, Plan.Route.Service, Owner.Slot, Owner.Token,
+          {!Owner.Target->Member.ChecksFence, Plan.Deadline});
     const request_header Header = dispatchHeader(Owner);
-    checkMayDispatch();
+    checkMayDispatch(Owner);
     Connection->Stream.expires_at(Plan.Deadline);
     co_await sendRequest(*Connection, Header);
     const bool Reusable = co_await relayAnswer(*Connection);
+    Flight.settled();
     if (Reusable)
       Connection.keep();
     co_return true;
   } catch (const pomelo_error &Caught) {
     Failure = Caught;
   }
+  if (Progress == attempt_progress::NothingSent)
+    Flight.settled();
   if (!mayTryAgain(Failure->kind()))
     throw pomelo_error(*Failure);
   co_return false;
@@ -218,7 +225,7 @@
 
 //! The last check before the first byte goes out: a process that was paused
 //! must not send under a right that has run out.
-void exchange::checkMayDispatch() const {
+void exchange::checkMayDispatch(const slot_owner &Owner) const {
   const auto Now = steady_clock::now();
   if (Now >= Plan.Deadline)
     throw pomelo_error(error_kind::DeadlineExceeded,
@@ -229,6 +236,10 @@
   if (Now >= Until)
     throw pomelo_error(error_kind::NotAuthoritative,
                        "this entry host has lost touch with the control group");
+  // Waiting for a connection may have outlived the view that named the target.
+  if (!mayStillSend(*Context.View, Plan.Route.Service, Owner))
+    throw pomelo_error(error_kind::UpstreamFailed,
+                       "the target gave up this work before it was sent");
 }
 
 request_header exchange::dispatchHeader(const slot_owner &Owner) {
@@ -388,13 +399,13 @@
   }
 }
 
-asio::awaitable<void> exchange::writeError(error_kind Kind,
-                                           std::string_view Message) {
+asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   ++Context.Counters.Refused;
-  if (answerFor(Kind).RunState == run_state::Unknown)
+  if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
     ++Context.Counters.OutcomeUnknown;
   text_response Response =
-      makeErrorResponse(Kind, Message, Request.get().version());
+      makeErrorResponse(Refusal.kind(), Refusal.what(), Request.get().version(),
+                        Refusal.retryAfter());
   CallerKeepAlive = CallerKeepAlive && Request.is_done();
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
