--- /dev/null
+++ b/tests/raft/raft_log_test.cpp
@@ -0,0 +1,88 @@
+#include "pomeloswitch/raft/raft_log.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::seconds;
+
+//! A storage in memory that fails from the given write on.
+class failing_storage final : public log_storage {
+public:
+  explicit failing_storage(int Writes) : Writes(Writes) {}
+  stored_state load() override {
+    stored_state Stored;
+    Stored.Identity.set_replica_id("r1");
+    return Stored;
+  }
+  void write(const storage_batch &) override {
+    if (Writes-- <= 0)
+      throw pomelo_error(error_kind::StorageFailed, "no space");
+  }
+
+private:
+  int Writes;
+};
+
+class raft_log_alone : public testing::Test {
+protected:
+  void start(int Writes) {
+    raft_log::options Options;
+    Options.HostId = "c1";
+    Options.Members = {{"c1", "127.0.0.1:1"}};
+    Log = std::make_unique<raft_log>(Io, Options,
+                                     std::make_unique<failing_storage>(Writes));
+    replicated_log::applier Applier;
+    Applier.OnCommitted = [this](const committed_entry &Entry) {
+      Commands += Entry.Command;
+    };
+    Applier.OnLeadership = [this](bool Leading) { Told = Leading; };
+    Applier.TakeSnapshot = [] { return std::string(); };
+    Log->start(Applier);
+  }
+
+  template <typename Predicate> bool runUntil(Predicate Condition) {
+    const auto GiveUp = std::chrono::steady_clock::now() + seconds(5);
+    while (!Condition() && std::chrono::steady_clock::now() < GiveUp)
+      Io.run_one_for(seconds(1));
+    return Condition();
+  }
+
+  std::optional<proposal_outcome> propose(const std::string &Command) {
+    auto Outcome = std::make_shared<std::optional<proposal_outcome>>();
+    Log->propose(Command,
+                 [Outcome](const proposal_outcome &Is) { *Outcome = Is; });
+    runUntil([&] { return Outcome->has_value(); });
+    return *Outcome;
+  }
+
+  boost::asio::io_context Io;
+  std::unique_ptr<raft_log> Log;
+  std::string Commands;
+  bool Told = false;
+};
+
+TEST_F(raft_log_alone, founds_its_group_and_commits) {
+  constexpr int Plenty = 1000;
+  start(Plenty);
+  ASSERT_TRUE(runUntil([&] { return Told; }));
+  EXPECT_EQ(propose("a")->Failure, std::nullopt);
+  EXPECT_EQ(propose("b")->Failure, std::nullopt);
+  EXPECT_EQ(Commands, "ab");
+  EXPECT_TRUE(Log->leadershipConfirmed());
+}
+
+TEST_F(raft_log_alone, stops_taking_part_when_its_storage_fails) {
+  // The configuration, the vote and the first entry of the term.
+  start(3);
+  ASSERT_TRUE(runUntil([&] { return Told; }));
+  EXPECT_EQ(propose("a")->Failure, error_kind::StorageFailed);
+  EXPECT_FALSE(Told);
+  EXPECT_FALSE(Log->leadershipConfirmed());
+  EXPECT_EQ(propose("b")->Failure, error_kind::StorageFailed);
+  EXPECT_EQ(Commands, "");
+}
+
+} // namespace
+} // namespace pomelo
