--- a/benchmarks/control_group_bench.cpp
+++ b/benchmarks/control_group_bench.cpp
@@ -109,6 +109,7 @@
              Latencies[Latencies.size() * 99 / 100]);
   fmt::print("control_restart_1000 {:.0f} ms\n", Measurement.restartAll());
   std::vector<double> Losses;
+  Losses.reserve(static_cast<std::size_t>(LossRuns));
   for (int Run = 0; Run < LossRuns; ++Run)
     Losses.push_back(Measurement.loseLeader());
   std::sort(Losses.begin(), Losses.end());
