Reach founding members at the addresses of each host's own settings

A host dialed the others at the founder's addresses for them, whatever its own settings said; behind the fault proxy every host then used the founder's routes, so a member could not be cut off alone. The founding configuration now carries no addresses; members that are added later carry theirs.

--- a/src/pomeloswitch/raft/founding.cpp
+++ b/src/pomeloswitch/raft/founding.cpp
@@ -42,7 +42,6 @@
       return std::nullopt;
     wire::raft_member *Added = Config.add_members();
     Added->set_host_id(Member.Id);
-    Added->set_address(Member.Address);
     Added->set_replica_id(Member.Id == HostId ? OwnReplica : Known->second);
     Added->set_voter(true);
   }
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -226,7 +226,8 @@
     return;
   ConnectedConfig = Core.log().configIndex();
   for (const wire::raft_member &Member : Core.log().config().members())
-    Network.connect(Member.host_id(), Member.address());
+    if (!Member.address().empty())
+      Network.connect(Member.host_id(), Member.address());
 }
 
 void raft_log::takeSnapshotIfDue() {
@@ -284,10 +285,19 @@
   return Found;
 }
 
+std::string raft_log::addressOf(const wire::raft_member &Member) const {
+  if (!Member.address().empty())
+    return Member.address();
+  for (const host_address &Founding : Options.Members)
+    if (Founding.Id == Member.host_id())
+      return Founding.Address;
+  return {};
+}
+
 std::vector<control_member> raft_log::members() const {
   std::vector<control_member> Members;
   for (const wire::raft_member &Member : Core.log().config().members())
-    Members.push_back({Member.host_id(), Member.address(), Member.voter(),
+    Members.push_back({Member.host_id(), addressOf(Member), Member.voter(),
                        Member.replaces(), Core.matchOf(Member.host_id())});
   return Members;
 }
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -79,6 +79,7 @@
   void fail(const std::string &Reason);
   void endProposals(error_kind Kind);
   void requireLeading() const;
+  [[nodiscard]] std::string addressOf(const wire::raft_member &Member) const;
 
   boost::asio::io_context &Io;
   options Options;
--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -28,8 +28,11 @@
 
 class control_group : public testing::Test {
 protected:
-  void SetUp() override {
+  void SetUp() override { start(false); }
+
+  void start(bool FaultProxy) {
     deployment_plan Plan;
+    Plan.FaultProxy = FaultProxy;
     Plan.ControlHosts = 3;
     Plan.FailureDomains = {"a", "b", "c"};
     Group = deployment::builder().withPlan(Plan).build();
@@ -274,5 +277,36 @@
   makeChanges("after", 5);
 }
 
+class isolated_control_host : public control_group,
+                              public testing::WithParamInterface<cut_kind> {
+protected:
+  void SetUp() override { start(true); }
+};
+
+TEST_P(isolated_control_host, neither_answers_as_leader_nor_disturbs) {
+  const std::string Old = leader();
+  auto Made = makeChanges("before", 5);
+  Group->links().cutMember(Old, GetParam());
+  const auto Cut = makeChanges("cut", 5, Old);
+  Made.insert(Made.end(), Cut.begin(), Cut.end());
+  EXPECT_NE(askHost(Old, "/v1/rules").Status, 200);
+  const std::string New = leader();
+  EXPECT_NE(New, Old);
+  Group->links().heal();
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        const http_answer Answer = askHost(Old, "/v1/control-hosts");
+        return Answer.Status == 200 &&
+               json::parse(Answer.Body).as_object().at("leader").as_string() ==
+                   New;
+      },
+      seconds(10)));
+  EXPECT_EQ(leader(), New);
+  expectKept(Made);
+}
+
+INSTANTIATE_TEST_SUITE_P(each_kind, isolated_control_host,
+                         testing::Values(cut_kind::Silent, cut_kind::Reset));
+
 } // namespace
 } // namespace pomelo::emulator
