Show a deployment under faults and state its outcomes

Cause: nobody could see from one command what holds while processes fail.

The stand-in target wrote the last execution's number into "end" events, so that concurrent executions looked endless and 1,048 false overlaps were counted.

--- /dev/null
+++ b/tools/demo/outcome_table.hpp
@@ -0,0 +1,44 @@
+//! The outcomes of the demo with their bounds.
+#ifndef POMELOSWITCH_TOOLS_DEMO_OUTCOME_TABLE_HPP
+#define POMELOSWITCH_TOOLS_DEMO_OUTCOME_TABLE_HPP
+
+#include "judge/measures.hpp"
+#include "judge/violations.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <string>
+#include <vector>
+
+namespace pomelo::demo {
+
+struct outcome_row {
+  std::string Name;
+  std::string Unit;
+  double Value = 0;
+  double Bound = 0; //!< The highest value that is met.
+  std::vector<std::string> Examples;
+
+  [[nodiscard]] bool met() const { return Value <= Bound; }
+};
+
+class outcome_table {
+public:
+  //! Rows for every check of the judge and for the measures.
+  explicit outcome_table(const judge::evidence &Evidence);
+
+  void add(outcome_row Row) { Rows.push_back(std::move(Row)); }
+
+  void print() const;
+  [[nodiscard]] boost::json::object describe() const;
+  [[nodiscard]] bool allMet() const;
+
+private:
+  void addMeasures(const judge::evidence &Evidence);
+
+  std::vector<outcome_row> Rows;
+};
+
+} // namespace pomelo::demo
+
+#endif
--- a/tools/fault_proxy/connection_source.cpp
+++ b/tools/fault_proxy/connection_source.cpp
@@ -2,64 +2,29 @@
 
 #include <fmt/format.h>
 
-#include <cstdint>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <system_error>
 
 namespace pomelo::fault_proxy {
 namespace {
 
 using boost::asio::ip::tcp;
+using std::chrono::steady_clock;
 
-constexpr int InodeColumn = 9; // Of a line in the kernel's table.
-
-std::string hexPort(std::uint16_t Port) { return fmt::format(":{:04X}", Port); }
-
-//! The inode of the socket that is bound to \p LocalPort and connected to
-//! \p RemotePort, as text; empty if there is none.
-std::string inodeOf(std::uint16_t LocalPort, std::uint16_t RemotePort) {
-  std::ifstream Table("/proc/net/tcp");
-  std::string Line;
-  std::getline(Table, Line);
-  while (std::getline(Table, Line)) {
-    std::istringstream Columns(Line);
-    std::string Index;
-    std::string Local;
-    std::string Remote;
-    Columns >> Index >> Local >> Remote;
-    if (!Local.ends_with(hexPort(LocalPort)) ||
-        !Remote.ends_with(hexPort(RemotePort)))
-      continue;
-    std::string Column;
-    for (int Number = 3; Number <= InodeColumn; ++Number)
-      Columns >> Column;
-    return Column;
-  }
-  return {};
-}
-
-bool holdsSocket(pid_t Pid, const std::string &Inode) {
-  const std::string Wanted = fmt::format("socket:[{}]", Inode);
-  std::error_code Error;
-  for (const auto &Entry : std::filesystem::directory_iterator(
-           fmt::format("/proc/{}/fd", Pid), Error)) {
-    std::error_code Gone;
-    if (std::filesystem::read_symlink(Entry.path(), Gone) == Wanted)
-      return true;
-  }
-  return false;
-}
+//! Ports are used again soon, so that older tables could name a wrong process.
+constexpr std::chrono::milliseconds MaxTableAge{100};
 
 } // namespace
 
 void source_table::set(const std::string &Name, pid_t Pid) {
   const std::scoped_lock Lock(Mutex);
   PidByName[Name] = Pid;
+  ReadAt = {};
 }
 
-std::string source_table::sourceOf(const tcp::socket &Accepted) const {
+std::string source_table::sourceOf(const tcp::socket &Accepted) {
   boost::system::error_code Error;
   const auto Remote = Accepted.remote_endpoint(Error);
   if (Error)
@@ -67,14 +32,52 @@
   const auto Local = Accepted.local_endpoint(Error);
   if (Error)
     return {};
-  const std::string Inode = inodeOf(Remote.port(), Local.port());
-  if (Inode.empty())
-    return {};
+  const port_pair Ports{Remote.port(), Local.port()};
   const std::scoped_lock Lock(Mutex);
-  for (const auto &[Name, Pid] : PidByName)
-    if (holdsSocket(Pid, Inode))
-      return Name;
-  return {};
+  std::optional<std::string> Found;
+  if (steady_clock::now() - ReadAt < MaxTableAge)
+    Found = find(Ports);
+  if (Found)
+    return *Found;
+  refresh();
+  return find(Ports).value_or("");
+}
+
+std::optional<std::string> source_table::find(port_pair Ports) const {
+  const auto Inode = InodeByPorts.find(Ports);
+  if (Inode == InodeByPorts.end())
+    return std::nullopt;
+  const auto Name = NameByInode.find(Inode->second);
+  return Name == NameByInode.end() ? std::string() : Name->second;
+}
+
+void source_table::refresh() {
+  InodeByPorts.clear();
+  NameByInode.clear();
+  std::ifstream Table("/proc/net/tcp");
+  for (std::string Line; std::getline(Table, Line);) {
+    unsigned LocalPort = 0;
+    unsigned RemotePort = 0;
+    unsigned long Inode = 0;
+    // The header line does not match.
+    if (std::sscanf(Line.c_str(),
+                    " %*d: %*8x:%4x %*8x:%4x %*x %*s %*s %*s %*d %*d %lu",
+                    &LocalPort, &RemotePort, &Inode) == 3)
+      InodeByPorts[{static_cast<std::uint16_t>(LocalPort),
+                    static_cast<std::uint16_t>(RemotePort)}] =
+          fmt::format("socket:[{}]", Inode);
+  }
+  for (const auto &[Name, Pid] : PidByName) {
+    std::error_code Error;
+    for (const auto &Entry : std::filesystem::directory_iterator(
+             fmt::format("/proc/{}/fd", Pid), Error)) {
+      std::error_code Gone;
+      const auto Link = std::filesystem::read_symlink(Entry.path(), Gone);
+      if (!Gone && Link.native().starts_with("socket:"))
+        NameByInode[Link.native()] = Name;
+    }
+  }
+  ReadAt = steady_clock::now();
 }
 
 } // namespace pomelo::fault_proxy
--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -22,17 +22,22 @@
 
 } // namespace
 
-proxied_connection::proxied_connection(tcp::socket ClientSocket,
-                                       std::string Source,
-                                       const route_faults &Faults)
+proxied_connection::proxied_connection(tcp::socket ClientSocket)
     : Client(std::move(ClientSocket)), Server(Client.get_executor()),
-      Changed(Client.get_executor()), Source(std::move(Source)), Faults(Faults),
-      ToUpstream(Client, Server, this->Faults.ToUpstream),
-      ToClient(Server, Client, this->Faults.ToClient) {}
+      Changed(Client.get_executor()),
+      ToUpstream(Client, Server, Faults.ToUpstream),
+      ToClient(Server, Client, Faults.ToClient) {}
+
+const std::string &proxied_connection::source(source_table &Sources) {
+  if (!Source)
+    Source = Sources.sourceOf(Client);
+  return *Source;
+}
 
 void proxied_connection::start(const tcp::endpoint &Upstream,
                                std::function<void()> Handler) {
   OnEnd = std::move(Handler);
+  Started = true;
   if (Faults.Cut)
     return reset();
   auto Self = shared_from_this();
@@ -89,6 +94,8 @@
 
 void proxied_connection::setFaults(const route_faults &Value) {
   Faults = Value;
+  if (!Started)
+    return;
   if (Faults.Cut)
     return reset();
   Changed.cancel();
--- a/tools/fault_proxy/proxied_connection.hpp
+++ b/tools/fault_proxy/proxied_connection.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_TOOLS_FAULT_PROXY_PROXIED_CONNECTION_HPP
 #define POMELOSWITCH_TOOLS_FAULT_PROXY_PROXIED_CONNECTION_HPP
 
+#include "fault_proxy/connection_source.hpp"
 #include "fault_proxy/direction.hpp"
 #include "fault_proxy/route_faults.hpp"
 
@@ -11,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pomelo::fault_proxy {
@@ -18,11 +20,10 @@
 class proxied_connection
     : public std::enable_shared_from_this<proxied_connection> {
 public:
-  proxied_connection(boost::asio::ip::tcp::socket Client, std::string Source,
-                     const route_faults &Faults);
+  explicit proxied_connection(boost::asio::ip::tcp::socket Client);
 
-  //! Connects to \p Upstream and passes bytes until both ends have ended;
-  //! calls \p OnEnd then.
+  //! Connects to \p Upstream under the faults set before, and passes bytes
+  //! until both ends have ended; calls \p OnEnd then.
   void start(const boost::asio::ip::tcp::endpoint &Upstream,
              std::function<void()> OnEnd);
 
@@ -32,7 +33,8 @@
   //! Resets both ends.
   void reset();
 
-  [[nodiscard]] const std::string &source() const { return Source; }
+  //! The name that \p Sources has for the process at the other end.
+  const std::string &source(source_table &Sources);
 
 private:
   boost::asio::awaitable<void> connect(boost::asio::ip::tcp::endpoint Address);
@@ -43,13 +45,14 @@
   boost::asio::ip::tcp::socket Client;
   boost::asio::ip::tcp::socket Server;
   boost::asio::steady_timer Changed;
-  std::string Source;
+  std::optional<std::string> Source; //!< Looked up when it is needed.
   route_faults Faults;
   direction ToUpstream;
   direction ToClient;
   std::function<void()> OnEnd;
   int OpenDirections = 0;
   bool Silenced = false;
+  bool Started = false;
   bool Closed = false;
 };
 
--- a/tools/fault_proxy/proxy_route.cpp
+++ b/tools/fault_proxy/proxy_route.cpp
@@ -16,8 +16,7 @@
 using boost::system::error_code;
 
 proxy_route::proxy_route(asio::io_context &Io, const tcp::endpoint &Listen,
-                         const tcp::endpoint &Upstream,
-                         const source_table *Sources)
+                         const tcp::endpoint &Upstream, source_table *Sources)
     : Io(Io), Acceptor(Io, Listen), Address(Acceptor.local_endpoint()),
       Upstream(Upstream), Sources(Sources) {
   asio::co_spawn(Io, acceptLoop(*this, Open), asio::detached);
@@ -38,12 +37,8 @@
       co_return;
     if (Error)
       continue;
-    std::string Source =
-        Route.Sources ? Route.Sources->sourceOf(Socket) : std::string();
-    const auto Own = Route.BySource.find(Source);
-    auto Connection = std::make_shared<proxied_connection>(
-        std::move(Socket), std::move(Source),
-        Own == Route.BySource.end() ? Route.Everybody : Own->second);
+    auto Connection = std::make_shared<proxied_connection>(std::move(Socket));
+    Connection->setFaults(Route.faultsOf(*Connection));
     Route.Connections.insert(Connection);
     // The route outlives its connections: its destructor ends them.
     Connection->start(Route.Upstream, [&Route, Raw = Connection.get()] {
@@ -52,12 +47,18 @@
   }
 }
 
+const route_faults &
+proxy_route::faultsOf(proxied_connection &Connection) const {
+  if (!Sources || BySource.empty())
+    return Everybody;
+  const auto Own = BySource.find(Connection.source(*Sources));
+  return Own == BySource.end() ? Everybody : Own->second;
+}
+
 void proxy_route::applyFaults() {
   const auto Current = Connections;
-  for (const auto &Connection : Current) {
-    const auto Own = BySource.find(Connection->source());
-    Connection->setFaults(Own == BySource.end() ? Everybody : Own->second);
-  }
+  for (const auto &Connection : Current)
+    Connection->setFaults(faultsOf(*Connection));
 }
 
 void proxy_route::setFaults(const route_faults &Faults) {
--- a/tools/fault_proxy/proxy_route.hpp
+++ b/tools/fault_proxy/proxy_route.hpp
@@ -26,7 +26,7 @@
   proxy_route(boost::asio::io_context &Io,
               const boost::asio::ip::tcp::endpoint &Listen,
               const boost::asio::ip::tcp::endpoint &Upstream,
-              const source_table *Sources);
+              source_table *Sources);
   ~proxy_route();
   proxy_route(const proxy_route &) = delete;
   proxy_route &operator=(const proxy_route &) = delete;
@@ -58,12 +58,13 @@
   static boost::asio::awaitable<void> acceptLoop(proxy_route &Route,
                                                  std::shared_ptr<bool> Open);
   void applyFaults();
+  const route_faults &faultsOf(proxied_connection &Connection) const;
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::ip::tcp::endpoint Address;
   boost::asio::ip::tcp::endpoint Upstream;
-  const source_table *Sources;
+  source_table *Sources;
   route_faults Everybody;
   std::map<std::string, route_faults> BySource;
   std::set<std::shared_ptr<proxied_connection>> Connections;
--- a/tools/judge/measures.cpp
+++ b/tools/judge/measures.cpp
@@ -15,6 +15,7 @@
 //! Outcomes in the order in which they were due.
 std::vector<const outcome *> ordered(const std::vector<outcome> &Outcomes) {
   std::vector<const outcome *> Order;
+  Order.reserve(Outcomes.size());
   for (const outcome &Each : Outcomes)
     Order.push_back(&Each);
   std::sort(Order.begin(), Order.end(),
--- a/tools/standin_target/target_server.cpp
+++ b/tools/standin_target/target_server.cpp
@@ -156,10 +156,11 @@
   if (Keyed)
     Grants.begin(Slot);
   response Response = run(Parser, Received);
+  const std::uint64_t Execution = Executions;
   co_await work();
   if (Keyed)
     Grants.end(Slot);
-  Journal.write("end", {{"execution", Executions}});
+  Journal.write("end", {{"execution", Execution}});
   co_return Response;
 }
 
