--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 namespace pomelo::wire {
+class heartbeat;
 class heartbeat_ack;
 class log_batch;
 class target_report;
@@ -35,13 +36,18 @@
     std::function<void(const cluster_state &)> OnState;
     //! The lowest quiesced index of all traffic threads.
     std::function<std::uint64_t()> QuiescedIndex;
+    //! Adds the quota report to a heartbeat.
+    std::function<void(wire::heartbeat &)> AddQuota;
+    //! What the leader granted counts until the time given.
+    std::function<void(const wire::heartbeat_ack &, steady_time)> OnQuota;
+    //! The host may route until then by the state given last.
+    std::function<void(steady_time Until)> OnLease;
     //! A heartbeat's reports have been recorded by the leader.
     std::function<void(const wire::heartbeat_ack &)> OnAck;
   };
 
   control_session(boost::asio::io_context &Io, const entry_settings &Settings,
-                  std::uint64_t Incarnation, authority &Authority,
-                  callbacks Callbacks);
+                  std::uint64_t Incarnation, callbacks Callbacks);
   ~control_session();
 
   void start();
@@ -73,7 +79,6 @@
   boost::asio::io_context &Io;
   const entry_settings &Settings;
   std::uint64_t Incarnation;
-  authority &Authority;
   callbacks Callbacks;
   part_log Log{"entry.control"};
   cluster_state State;
