Let stand-in targets be cold, slow, frozen, misleading and cancelled

Cause: tests could not provoke cold starts, stragglers, wrong health and load reports or cancellations at a target.

A connection that closes while its request runs is journalled as "cancelled" and frees the slot. A second SIGTERM ends the process at once.

--- a/tools/standin_target/main.cpp
+++ b/tools/standin_target/main.cpp
@@ -44,6 +44,9 @@
   boost::asio::steady_timer LeaveTimer(Io);
   stopOnSignal(Io, [&] {
     Announcer.leave();
+    Journal.write("leaving", {});
+    // A second signal does not wait for the grants to be taken back.
+    stopOnSignal(Io, [&Io] { Io.stop(); });
     endWhenLeft(Io, LeaveTimer, Announcer, Server);
   });
   writeReadyFile(Options.ReadyFile,
--- a/tools/standin_target/target_options.cpp
+++ b/tools/standin_target/target_options.cpp
@@ -28,6 +28,9 @@
   --queue=N             Requests that may wait for a slot [default: 4].
   --work-us=N           Time that a request takes [default: 1000].
   --connection-us=N     Time that a new connection costs [default: 1000].
+  --cold-requests=N     Requests until a fresh process is warm [default: 0].
+  --cold-open=N         Open requests it bears until then [default: 1].
+  --cold-factor=N       Work takes N times as long until then [default: 5].
   --checks-fence        Refuse requests without a valid grant.
   --journal=FILE        Append a JSON line for each event.
   --ready-file=FILE     Write the bound address there, as JSON, once ready.
@@ -65,6 +68,9 @@
   Options.QueueLength = Number("--queue");
   Options.Work = std::chrono::microseconds(Number("--work-us"));
   Options.ConnectionCost = std::chrono::microseconds(Number("--connection-us"));
+  Options.ColdRequests = Number("--cold-requests");
+  Options.ColdOpenRequests = Number("--cold-open");
+  Options.ColdFactor = Number("--cold-factor");
   Options.ChecksFence = Arguments.at("--checks-fence").asBool();
   Options.JournalFile = Text("--journal");
   Options.ReadyFile = Text("--ready-file");
--- a/tools/standin_target/target_options.hpp
+++ b/tools/standin_target/target_options.hpp
@@ -22,6 +22,9 @@
   std::uint32_t QueueLength = 4; //!< Requests that wait for a slot.
   std::chrono::microseconds Work{1000};
   std::chrono::microseconds ConnectionCost{1000};
+  std::uint32_t ColdRequests = 0; //!< Requests served while cold; 0 for never.
+  std::uint32_t ColdOpenRequests = 1; //!< Open requests borne while cold.
+  double ColdFactor = 5;              //!< Work takes so many times as long.
   bool ChecksFence = false;
   std::string JournalFile; //!< A JSON line for each event; empty for none.
   std::string ReadyFile;
--- a/tools/standin_target/target_server.cpp
+++ b/tools/standin_target/target_server.cpp
@@ -1,5 +1,6 @@
 #include "standin_target/target_server.hpp"
 
+#include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/http/forwarded_headers.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 
@@ -13,6 +14,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <sys/socket.h>
+
 #include <cstdlib>
 #include <memory>
 #include <vector>
@@ -25,10 +28,15 @@
 namespace http = beast::http;
 namespace json = boost::json;
 using asio::ip::tcp;
+using boost::system::error_code;
 using std::chrono::steady_clock;
 
 constexpr std::size_t ReadChunkBytes = 256 * 1024;
 constexpr std::string_view CrashPath = "/standin/crash";
+constexpr std::string_view ControlPath = "/standin/control";
+constexpr std::string_view HealthPath = "/health";
+constexpr std::string_view LoadPath = "/load";
+constexpr std::chrono::milliseconds FreezeCheckInterval{10};
 constexpr int CrashExitCode = 70;
 
 std::uint64_t numberOf(std::string_view Text) {
@@ -50,13 +58,23 @@
   return Response;
 }
 
+bool isOwnEndpoint(std::string_view Path) {
+  return Path == ControlPath || Path == HealthPath || Path == LoadPath;
+}
+
+//! Whether a readable socket is so because its other end has closed it.
+bool peerClosed(tcp::socket &Socket) {
+  char Byte = 0;
+  return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 } // namespace
 
 target_server::target_server(asio::io_context &Io,
                              const target_options &Options, grant_book &Grants,
                              journal &Journal)
-    : Io(Io), Options(Options), Grants(Grants), Journal(Journal),
-      Slots(Io, Options.Slots, Options.QueueLength),
+    : Io(Io), Options(Options), Behaviour(Options), Grants(Grants),
+      Journal(Journal), Slots(Io, Options.Slots, Options.QueueLength),
       Acceptor(Io, parseEndpoint(Options.Address)) {
   asio::co_spawn(Io, acceptLoop(), asio::detached);
 }
@@ -93,7 +111,11 @@
                                      asio::use_awaitable);
     open_connection OpenRequest(OpenRequests);
     const received Received = co_await readBody(Stream, Buffer, Parser);
-    response Response = co_await answer(Parser, Received);
+    response Response;
+    if (isOwnEndpoint(Parser.get().target()))
+      Response = answerOwnEndpoint(Parser, Received);
+    else
+      Response = co_await answer(Stream.socket(), Parser, Received);
     KeepAlive = Parser.keep_alive();
     Response.keep_alive(KeepAlive);
     Response.prepare_payload();
@@ -122,6 +144,8 @@
       throw boost::system::system_error(Error);
     const std::size_t Count = Chunk.size() - Parser.get().body().size;
     XXH3_64bits_update(Hash.get(), Chunk.data(), Count);
+    if (Parser.get().target() == ControlPath)
+      Received.Text.append(Chunk.data(), Count);
     Received.BodyBytes += Count;
   }
   Received.BodyHash = XXH3_64bits_digest(Hash.get());
@@ -137,8 +161,13 @@
 }
 
 asio::awaitable<target_server::response>
-target_server::answer(const parser &Parser, const received &Received) {
-  if (!co_await Slots.enter())
+target_server::answer(tcp::socket &Socket, const parser &Parser,
+                      const received &Received) {
+  co_await waitWhileFrozen();
+  if (Behaviour.shedsCold(OpenRequests))
+    co_return refuse("cold");
+  const bool Entered = co_await Slots.enter();
+  if (!Entered)
     co_return refuse("shed");
   struct held_slot {
     work_slots &Slots;
@@ -157,10 +186,13 @@
     Grants.begin(Slot);
   response Response = run(Parser, Received);
   const std::uint64_t Execution = Executions;
-  co_await work();
+  const bool Finished = co_await work(Socket);
   if (Keyed)
     Grants.end(Slot);
-  Journal.write("end", {{"execution", Execution}});
+  Behaviour.requestServed();
+  Journal.write(Finished ? "end" : "cancelled", {{"execution", Execution}});
+  if (!Finished)
+    throw boost::system::system_error(asio::error::operation_aborted);
   co_return Response;
 }
 
@@ -193,9 +225,52 @@
   return Response;
 }
 
-asio::awaitable<void> target_server::work() {
-  asio::steady_timer Timer(Io, Options.Work);
-  co_await Timer.async_wait(asio::use_awaitable);
+target_server::response
+target_server::answerOwnEndpoint(const parser &Parser,
+                                 const received &Received) {
+  response Response(http::status::ok, 11);
+  Response.set(http::field::content_type, "application/json");
+  const auto Path = Parser.get().target();
+  if (Path == ControlPath) {
+    try {
+      Behaviour.control(Received.Text);
+    } catch (const pomelo_error &Failure) {
+      Response.result(http::status::bad_request);
+      Response.body() = Failure.what();
+    }
+  } else if (Path == LoadPath) {
+    Response.body() = json::serialize(
+        Behaviour.claimLoad({steady_clock::now(), Slots.running(),
+                             static_cast<std::uint32_t>(Slots.queued())}));
+  } else if (!Behaviour.claimsHealth()) {
+    Response.result(http::status::service_unavailable);
+  }
+  return Response;
+}
+
+asio::awaitable<void> target_server::waitWhileFrozen() {
+  asio::steady_timer Timer(Io);
+  while (Behaviour.frozen()) {
+    Timer.expires_after(FreezeCheckInterval);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<bool> target_server::work(tcp::socket &Socket) {
+  const auto Timer = std::make_shared<asio::steady_timer>(Io, Behaviour.work());
+  const auto Cancelled = std::make_shared<bool>(false);
+  Socket.async_wait(tcp::socket::wait_read,
+                    [&Socket, Timer, Cancelled](error_code Error) {
+                      if (Error || !peerClosed(Socket))
+                        return;
+                      *Cancelled = true;
+                      Timer->cancel();
+                    });
+  error_code Ignored;
+  co_await Timer->async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+  Socket.cancel(Ignored);
+  co_return !*Cancelled;
 }
 
 } // namespace pomelo::standin
--- a/tools/standin_target/target_server.hpp
+++ b/tools/standin_target/target_server.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_TOOLS_STANDIN_TARGET_TARGET_SERVER_HPP
 #define POMELOSWITCH_TOOLS_STANDIN_TARGET_TARGET_SERVER_HPP
 
+#include "standin_target/behaviour.hpp"
 #include "standin_target/grant_book.hpp"
 #include "standin_target/journal.hpp"
 #include "standin_target/target_options.hpp"
@@ -38,6 +39,7 @@
   struct received {
     std::uint64_t BodyBytes = 0;
     std::uint64_t BodyHash = 0;
+    std::string Text; //!< The body of a control request.
   };
 
   boost::asio::awaitable<void> acceptLoop();
@@ -45,14 +47,20 @@
   boost::asio::awaitable<received> readBody(boost::beast::tcp_stream &Stream,
                                             boost::beast::flat_buffer &Buffer,
                                             parser &Parser);
-  boost::asio::awaitable<response> answer(const parser &Parser,
+  boost::asio::awaitable<response> answer(boost::asio::ip::tcp::socket &Socket,
+                                          const parser &Parser,
                                           const received &Received);
-  boost::asio::awaitable<void> work();
+  response answerOwnEndpoint(const parser &Parser, const received &Received);
+  boost::asio::awaitable<void> waitWhileFrozen();
+  //! Takes the time of a request; returns false if the caller's side closed
+  //! the connection before.
+  boost::asio::awaitable<bool> work(boost::asio::ip::tcp::socket &Socket);
   [[nodiscard]] bool fenceAllows(const parser &Parser) const;
   response run(const parser &Parser, const received &Received);
 
   boost::asio::io_context &Io;
   const target_options &Options;
+  behaviour Behaviour;
   grant_book &Grants;
   journal &Journal;
   work_slots Slots;
