--- /dev/null
+++ b/benchmarks/proxy_closed_loop.hpp
@@ -0,0 +1,32 @@
+//! A closed-loop HTTP load on one address, for proxy_bench.
+#ifndef POMELOSWITCH_BENCHMARKS_PROXY_CLOSED_LOOP_HPP
+#define POMELOSWITCH_BENCHMARKS_PROXY_CLOSED_LOOP_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pomelo::bench {
+
+struct load_result {
+  std::uint64_t Requests = 0;
+  std::uint64_t Failures = 0;
+  double Seconds = 0;
+  std::vector<double> Milliseconds; //!< Latency of each answered request.
+
+  [[nodiscard]] double perSecond() const {
+    return static_cast<double>(Requests) / Seconds;
+  }
+  //! The latency that the given part of the requests does not exceed.
+  [[nodiscard]] double quantile(double Fraction) const;
+};
+
+//! Sends GET /public/bench over \p Connections kept connections to \p Address,
+//! each the next request as soon as the last is answered, for \p Duration.
+load_result runClosedLoop(const std::string &Address, unsigned Connections,
+                          std::chrono::milliseconds Duration);
+
+} // namespace pomelo::bench
+
+#endif
