--- a/tools/demo/demo_plan.hpp
+++ b/tools/demo/demo_plan.hpp
@@ -13,7 +13,7 @@
 namespace pomelo::demo {
 
 struct demo_plan {
-  unsigned ControlHosts = 1; //!< A leader is lost only with three or more.
+  unsigned ControlHosts = 3; //!< A leader is lost only with three or more.
   unsigned EntryHostsPerDomain = 2;
   unsigned ArchiveTargetsPerDomain = 2;
   unsigned TraceRepeats = 4;
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -31,7 +31,7 @@
 Options:
   --folder=DIR         Files of the deployment [default: build/demo].
   --source=DIR         The folder that holds examples/ [default: .].
-  --control-hosts=N    Control hosts to start [default: 1].
+  --control-hosts=N    Control hosts to start [default: 3].
   --json=FILE          Write the outcomes there.
   --hold               Leave the deployment running until interrupted.
   -h --help            Show this text.
