Look up connection sources once for all new connections of a moment

Cause: under a fault limited to a source the proxy read the system's tables for each new connection; the backlog delayed the heal of the demo's cut by about 5 s, so that one target ran nothing from 26.3 s to 33.3 s although the cut ended at 28 s. Ruled out: the target (no cancelled or refused events).

Change: the tables are read at most every 100 ms; a connection newer than they are is held until the next reading.

Tests: fault_proxy_test (16) and fault_links_test (5) passed.

--- a/tools/fault_proxy/connection_source.cpp
+++ b/tools/fault_proxy/connection_source.cpp
@@ -8,37 +8,29 @@
 #include <system_error>
 
 namespace pomelo::fault_proxy {
-namespace {
 
 using boost::asio::ip::tcp;
 using std::chrono::steady_clock;
 
-//! Ports are used again soon, so that older tables could name a wrong process.
-constexpr std::chrono::milliseconds MaxTableAge{100};
-
-} // namespace
-
 void source_table::set(const std::string &Name, pid_t Pid) {
   const std::scoped_lock Lock(Mutex);
   PidByName[Name] = Pid;
   ReadAt = {};
 }
 
-std::string source_table::sourceOf(const tcp::socket &Accepted) {
+std::optional<std::string> source_table::sourceOf(const tcp::socket &Accepted) {
   boost::system::error_code Error;
   const auto Remote = Accepted.remote_endpoint(Error);
   if (Error)
-    return {};
+    return std::string();
   const auto Local = Accepted.local_endpoint(Error);
   if (Error)
-    return {};
+    return std::string();
   const port_pair Ports{Remote.port(), Local.port()};
   const std::scoped_lock Lock(Mutex);
-  std::optional<std::string> Found;
-  if (steady_clock::now() - ReadAt < MaxTableAge)
-    Found = find(Ports);
-  if (Found)
-    return *Found;
+  // Ports are used again soon: older tables could name a wrong process.
+  if (steady_clock::now() - ReadAt < MaxAge)
+    return find(Ports);
   refresh();
   return find(Ports).value_or("");
 }
--- a/tools/fault_proxy/connection_source.hpp
+++ b/tools/fault_proxy/connection_source.hpp
@@ -24,9 +24,13 @@
   //! \p Name stands for process \p Pid from now on; replaces an earlier one.
   void set(const std::string &Name, pid_t Pid);
 
+  //! The tables are read again once they are this old.
+  static constexpr std::chrono::milliseconds MaxAge{100};
+
   //! The name of the process that opened the connection accepted as
-  //! \p Accepted; empty if it is none of the table.
-  [[nodiscard]] std::string
+  //! \p Accepted; empty if it is none of the table; nothing if the connection
+  //! is newer than the tables, which tell of it after MaxAge.
+  [[nodiscard]] std::optional<std::string>
   sourceOf(const boost::asio::ip::tcp::socket &Accepted);
 
 private:
--- a/tools/fault_proxy/proxied_connection.hpp
+++ b/tools/fault_proxy/proxied_connection.hpp
@@ -33,8 +33,9 @@
   //! Resets both ends.
   void reset();
 
-  //! The name that \p Sources has for the process at the other end.
-  const std::string &source(source_table &Sources);
+  //! The name that \p Sources has for the process at the other end; nothing
+  //! if it is not known yet.
+  const std::optional<std::string> &source(source_table &Sources);
 
 private:
   boost::asio::awaitable<void> connect(boost::asio::ip::tcp::endpoint Address);
--- a/tools/fault_proxy/proxy_route.cpp
+++ b/tools/fault_proxy/proxy_route.cpp
@@ -18,7 +18,7 @@
 proxy_route::proxy_route(asio::io_context &Io, const tcp::endpoint &Listen,
                          const tcp::endpoint &Upstream, source_table *Sources)
     : Io(Io), Acceptor(Io, Listen), Address(Acceptor.local_endpoint()),
-      Upstream(Upstream), Sources(Sources) {
+      Upstream(Upstream), Sources(Sources), Recheck(Io) {
   asio::co_spawn(Io, acceptLoop(*this, Open), asio::detached);
 }
 
@@ -47,14 +47,31 @@
   }
 }
 
-const route_faults &
-proxy_route::faultsOf(proxied_connection &Connection) const {
+route_faults proxy_route::faultsOf(proxied_connection &Connection) {
   if (!Sources || BySource.empty())
     return Everybody;
-  const auto Own = BySource.find(Connection.source(*Sources));
+  const auto &Source = Connection.source(*Sources);
+  if (!Source) {
+    scheduleRecheck();
+    return silentHang();
+  }
+  const auto Own = BySource.find(*Source);
   return Own == BySource.end() ? Everybody : Own->second;
 }
 
+void proxy_route::scheduleRecheck() {
+  if (RecheckDue)
+    return;
+  RecheckDue = true;
+  Recheck.expires_after(source_table::MaxAge);
+  Recheck.async_wait([this, Alive = Open](error_code Error) {
+    if (Error || !*Alive)
+      return;
+    RecheckDue = false;
+    applyFaults();
+  });
+}
+
 void proxy_route::applyFaults() {
   const auto Current = Connections;
   for (const auto &Connection : Current)
--- a/tools/fault_proxy/proxy_route.hpp
+++ b/tools/fault_proxy/proxy_route.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -58,13 +59,17 @@
   static boost::asio::awaitable<void> acceptLoop(proxy_route &Route,
                                                  std::shared_ptr<bool> Open);
   void applyFaults();
-  const route_faults &faultsOf(proxied_connection &Connection) const;
+  route_faults faultsOf(proxied_connection &Connection);
+  //! Applies the faults again once new connections' sources are known.
+  void scheduleRecheck();
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::ip::tcp::endpoint Address;
   boost::asio::ip::tcp::endpoint Upstream;
   source_table *Sources;
+  boost::asio::steady_timer Recheck;
+  bool RecheckDue = false;
   route_faults Everybody;
   std::map<std::string, route_faults> BySource;
   std::set<std::shared_ptr<proxied_connection>> Connections;
