--- a/tools/fault_proxy/proxy_route.hpp
+++ b/tools/fault_proxy/proxy_route.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -26,7 +27,7 @@
   proxy_route(boost::asio::io_context &Io,
               const boost::asio::ip::tcp::endpoint &Listen,
               const boost::asio::ip::tcp::endpoint &Upstream,
-              const source_table *Sources);
+              source_table *Sources);
   ~proxy_route();
   proxy_route(const proxy_route &) = delete;
   proxy_route &operator=(const proxy_route &) = delete;
@@ -58,12 +59,17 @@
   static boost::asio::awaitable<void> acceptLoop(proxy_route &Route,
                                                  std::shared_ptr<bool> Open);
   void applyFaults();
+  route_faults faultsOf(proxied_connection &Connection);
+  //! Applies the faults again once new connections' sources are known.
+  void scheduleRecheck();
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::ip::tcp::endpoint Address;
   boost::asio::ip::tcp::endpoint Upstream;
-  const source_table *Sources;
+  source_table *Sources;
+  boost::asio::steady_timer Recheck;
+  bool RecheckDue = false;
   route_faults Everybody;
   std::map<std::string, route_faults> BySource;
   std::set<std::shared_ptr<proxied_connection>> Connections;
