Send nothing to an incarnation that is known to be lost

Trace of a failing run: a target restarted at the same address got the second sending before its new incarnation was announced; its crash was recorded under the old incarnation and did not count as the second one.

Change: checkMayDispatch refuses (not run, tried elsewhere) a target whose incarnation is in the crash table.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -275,6 +275,12 @@
   if (!mayStillSend(*Context.View, Plan.Route.Service, Owner))
     throw pomelo_error(error_kind::UpstreamFailed,
                        "the target gave up this work before it was sent");
+  // A process that was started again at the same address answers there before
+  // its new incarnation is announced; what it loses must count as another.
+  const auto &Crashes = Context.View->Crashes;
+  const target_member &Member = Owner.Target->Member;
+  if (Crashes && Crashes->lost(Member.TargetId, Member.Incarnation))
+    throw pomelo_error(error_kind::UpstreamFailed, "the target has crashed");
 }
 
 request_header exchange::dispatchHeader(const slot_owner &Owner) {
--- a/src/pomeloswitch/state/crash_table.cpp
+++ b/src/pomeloswitch/state/crash_table.cpp
@@ -31,6 +31,15 @@
     Suspects.erase(Found);
 }
 
+bool crash_table::lost(std::string_view TargetId,
+                       std::uint64_t Incarnation) const {
+  const std::string Crash = fmt::format("{}#{}", TargetId, Incarnation);
+  return std::any_of(Suspects.begin(), Suspects.end(),
+                     [&](const suspect_map::value_type &Entry) {
+                       return Entry.second.Crashes.contains(Crash);
+                     });
+}
+
 bool crash_table::suspected(std::string_view Fingerprint) const {
   return Suspects.contains(Fingerprint);
 }
--- a/src/pomeloswitch/state/crash_table.hpp
+++ b/src/pomeloswitch/state/crash_table.hpp
@@ -37,6 +37,11 @@
   //! Forgets a suspect; what is refused already stays refused.
   void clear(const std::string &Fingerprint);
 
+  //! Whether a crash of that incarnation is known, so that nothing may be sent
+  //! to it any more.
+  [[nodiscard]] bool lost(std::string_view TargetId,
+                          std::uint64_t Incarnation) const;
+
   [[nodiscard]] bool suspected(std::string_view Fingerprint) const;
   [[nodiscard]] bool poisonous(std::string_view Fingerprint,
                                std::uint64_t NowMs) const;
--- a/tests/state/crash_table_test.cpp
+++ b/tests/state/crash_table_test.cpp
@@ -71,6 +71,13 @@
   EXPECT_FALSE(Table.suspected("older"));
 }
 
+TEST_F(crashes, tell_which_incarnations_are_lost) {
+  report("poison", "t1", 1);
+  EXPECT_TRUE(Table.lost("t1", 1));
+  EXPECT_FALSE(Table.lost("t1", 2));
+  EXPECT_FALSE(Table.lost("t2", 1));
+}
+
 TEST_F(crashes, survive_a_snapshot) {
   report("poison", "t1", 1);
   report("poison", "t2", 1);
