--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -31,7 +31,7 @@
                                       });
     if (Removed)
       Ledger.configure(0, 0, Now);
-    const bool Free = Ledger.stored() <= 0 && Ledger.leasedRate() <= 0;
+    const bool Free = Ledger.unused();
     Entry = Removed && Free ? Ledgers.erase(Entry) : std::next(Entry);
   }
 }
@@ -96,14 +96,17 @@
     return Grant;
   // An account that the host no longer reports may still have an earlier
   // grant there, which is taken back.
-  for (auto &[Name, Ledger] : Ledgers) {
-    const bool Reported = std::any_of(
-        Report.Accounts.begin(), Report.Accounts.end(),
-        [&](const account_report &Each) { return Each.Account == Name; });
+  for (auto &Entry : Ledgers) {
+    account_ledger &Ledger = Entry.second;
+    const bool Reported =
+        std::any_of(Report.Accounts.begin(), Report.Accounts.end(),
+                    [&](const account_report &Each) {
+                      return Each.Account == Entry.first;
+                    });
     if (!Reported)
       Ledger.setIdle(Host);
     if (Reported || Ledger.holds(Host))
-      Grant.Accounts.push_back(Ledger.grant(Host, Name, NextId, Now));
+      Grant.Accounts.push_back(Ledger.grant(Host, Entry.first, NextId, Now));
   }
   return Grant;
 }
