--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -18,6 +18,7 @@
 namespace http = boost::beast::http;
 using std::chrono::steady_clock;
 
+constexpr auto SpanInterval = std::chrono::milliseconds(500);
 constexpr auto StopAnnouncedFor = std::chrono::milliseconds(500);
 constexpr auto RecordsCheckInterval = std::chrono::milliseconds(10);
 constexpr auto RecordsPatience = std::chrono::seconds(2);
@@ -49,6 +50,7 @@
 entry_host::entry_host(asio::io_context &Io, entry_settings GivenSettings)
     : Io(Io), Settings(std::move(GivenSettings)),
       Quota([this] { asio::post(this->Io, [this] { Session->hurry(); }); }),
+      Spans("pomelo-entry", Settings.HostId, Settings.TraceFile), SpanTimer(Io),
       StopTimer(Io) {
   const std::uint64_t Incarnation = currentIncarnation();
   Session = std::make_unique<control_session>(Io, Settings, Incarnation,
@@ -63,6 +65,7 @@
         caller_limits{Settings.MaxCallerConnections / Settings.TrafficThreads,
                       std::chrono::milliseconds(Settings.HeaderTimeoutMs)}));
     Threads.back()->useRecords(*Records);
+    Threads.back()->useSpans(Spans);
     CallerAddress = Threads.front()->address();
   }
   AnnounceServer = std::make_unique<simple_server>(
@@ -106,6 +109,8 @@
   for (const auto &Thread : Threads)
     Thread->start();
   Session->start();
+  if (Spans.enabled())
+    flushSpans();
   Log.info("Entry host {} serves callers on {}.", Settings.HostId,
            toString(Threads.front()->address()));
 }
@@ -149,23 +154,37 @@
   if (Request.target() == "/metrics") {
     text_response Response = makeJsonResponse("", Request.version());
     Response.set(http::field::content_type, "text/plain; version=0.0.4");
-    Response.body() = metrics();
+    std::string Text = co_await metrics();
+    Response.body() = std::move(Text);
     Response.prepare_payload();
     co_return Response;
   }
   throw pomelo_error(error_kind::NotFound, "no such endpoint");
 }
 
-std::string entry_host::metrics() const {
-  std::uint64_t Requests = 0;
-  std::uint64_t Refused = 0;
+asio::awaitable<std::string> entry_host::metrics() {
+  metric_set All;
   for (const auto &Thread : Threads) {
-    Requests += Thread->counters().Requests;
-    Refused += Thread->counters().Refused;
+    const metric_set OfThread = co_await Thread->metrics();
+    All.merge(OfThread);
   }
-  return fmt::format("pomelo_requests_total {}\npomelo_refused_total {}\n"
-                     "pomelo_state_index {}\n",
-                     Requests, Refused, Session->state().index());
+  All.setGauge("pomelo_state_index", {},
+               static_cast<double>(Session->state().index()));
+  const std::chrono::duration<double> LeaseLeft =
+      Authority.validUntil() - steady_clock::now();
+  All.setGauge("pomelo_lease_seconds", {}, std::max(0.0, LeaseLeft.count()));
+  All.setGauge("pomelo_spans_dropped", {},
+               static_cast<double>(Spans.dropped()));
+  co_return All.text();
+}
+
+void entry_host::flushSpans() {
+  Spans.flush();
+  SpanTimer.expires_after(SpanInterval);
+  SpanTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      flushSpans();
+  });
 }
 
 void entry_host::beginStop() {
@@ -209,6 +228,7 @@
 }
 
 void entry_host::finishStop() {
+  Spans.flush();
   Log.info("Stopped.");
   Session->stop();
   Io.stop();
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -40,7 +40,8 @@
   [[nodiscard]] std::uint64_t quiescedIndex() const;
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
   [[nodiscard]] adopted_state adopted() const;
-  [[nodiscard]] std::string metrics() const;
+  boost::asio::awaitable<std::string> metrics();
+  void flushSpans();
   void onThreadIdle();
   void settleRecords();
   void finishStop();
@@ -50,12 +51,14 @@
   part_log Log{"entry"};
   authority Authority;
   host_quota Quota;
+  span_sink Spans; // The traffic threads add to it until they end.
   std::unique_ptr<control_session> Session;
   std::unique_ptr<log_records> Records;
   std::unique_ptr<announce_api> Announcements;
   std::vector<std::unique_ptr<traffic_thread>> Threads;
   std::unique_ptr<simple_server> AnnounceServer;
   std::unique_ptr<simple_server> OpsServer;
+  boost::asio::steady_timer SpanTimer;
   boost::asio::steady_timer StopTimer;
   std::size_t BusyThreads = 0;
   steady_time SettleUntil{};
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -1,6 +1,8 @@
 #include "pomeloswitch/entry/traffic_thread.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
 
@@ -31,6 +33,14 @@
   Thread = std::thread([this] { Io.run(); });
 }
 
+boost::asio::awaitable<metric_set> traffic_thread::metrics() {
+  const auto Copy = [this]() -> boost::asio::awaitable<metric_set> {
+    co_return Context.Metrics;
+  };
+  co_return co_await boost::asio::co_spawn(Io, Copy,
+                                           boost::asio::use_awaitable);
+}
+
 void traffic_thread::adopt(std::shared_ptr<const routing_view> View) {
   boost::asio::post(Io, [this, View = std::move(View)] {
     Context.View = View;
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -28,6 +28,9 @@
   //! Before start(): where the requests' records are kept.
   void useRecords(request_records &Records) { Context.Records = &Records; }
 
+  //! Before start(): where spans are collected.
+  void useSpans(span_sink &Spans) { Context.Spans = &Spans; }
+
   void start();
 
   //! Any thread: routes by \p View from now on.
@@ -54,9 +57,8 @@
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const {
     return Server.address();
   }
-  [[nodiscard]] const traffic_counters &counters() const {
-    return Context.Counters;
-  }
+  //! A copy of this thread's metrics, made on this thread.
+  boost::asio::awaitable<metric_set> metrics();
 
 private:
   void updateQuiesced();
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -51,23 +51,16 @@
       make_error_code(boost::system::errc::connection_aborted));
 }
 
-std::string randomId(random_engine &Random, unsigned Words) {
-  std::string Id;
-  for (unsigned Word = 0; Word < Words; ++Word)
-    Id += fmt::format("{:016x}", Random());
-  return Id;
-}
-
 } // namespace
 
 exchange::exchange(traffic_context &Context, beast::tcp_stream &Caller,
                    beast::flat_buffer &CallerBuffer,
                    request_stream_parser &Request)
     : Context(Context), Caller(Caller), Request(Request), View(Context.View),
-      Body(Caller, CallerBuffer, Request) {}
+      Body(Caller, CallerBuffer, Request),
+      Record(Request.get()["traceparent"], Context.Random) {}
 
 asio::awaitable<bool> exchange::run() {
-  ++Context.Counters.Requests;
   CallerKeepAlive = Request.get().keep_alive();
   std::optional<pomelo_error> Refusal;
   try {
@@ -75,6 +68,9 @@
   } catch (const pomelo_error &Failure) {
     Refusal = truthful(Failure);
   }
+  if (Refusal)
+    Record.failed(Refusal->kind());
+  Record.close(Context.Metrics, Context.Spans);
   if (!MightHaveRun)
     Claim.notRun();
   if (CallerGone)
@@ -90,6 +86,7 @@
   if (Context.Stopping)
     throw pomelo_error(error_kind::Draining, "this entry host is stopping");
   Plan = makeRequestPlan(Request, *View, Context.ClusterSecret);
+  Record.routed(Plan.Route.Name, Plan.Route.Service, Plan.Account);
   if (Plan.Route.Access == route_access::Account) {
     co_await awaitLease();
     co_await admitToAccount(Context, Plan.Account, Plan.Deadline);
@@ -199,6 +196,7 @@
         {!Owner.Target->Member.ChecksFence, Plan.Deadline});
   const request_header Header = dispatchHeader(Owner);
   checkMayDispatch(Owner);
+  Record.dispatched(Owner.Target->Member.TargetId);
   target_dispatch Dispatch(*Connection, Body);
   struct noted_attempt {
     exchange &Exchange;
@@ -217,6 +215,7 @@
                                  Connection->Stream.close();
                              });
   co_await Dispatch.readAnswer(Plan.Deadline);
+  Record.answered(Context.Metrics);
   co_await relayAnswer(Connection, Dispatch);
 }
 
@@ -328,13 +327,12 @@
   dispatch_facts Facts;
   Facts.Account = Plan.Account;
   if (Plan.Key) {
+    Record.slotFound(Owner.Slot);
     Facts.Slot = Owner.Slot;
     Facts.Token = Owner.Token;
   }
   Facts.DeadlineUnixMs = Plan.DeadlineUnixMs;
-  Facts.TraceParent =
-      continueTrace(Request.get()["traceparent"], randomId(Context.Random, 2),
-                    randomId(Context.Random, 1));
+  Facts.TraceParent = Record.traceParentForTarget();
   return headerForTarget(Request.get(), Facts);
 }
 
@@ -385,9 +383,6 @@
 }
 
 asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
-  ++Context.Counters.Refused;
-  if (answerFor(Refusal.kind()).RunState == run_state::Unknown)
-    ++Context.Counters.OutcomeUnknown;
   co_await writeWhole(makeErrorResponse(Refusal.kind(), Refusal.what(),
                                         Request.get().version(),
                                         Refusal.retryAfter()));
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -6,6 +6,7 @@
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/forwarded_headers.hpp"
 #include "pomeloswitch/http/request_plan.hpp"
+#include "pomeloswitch/http/request_record.hpp"
 #include "pomeloswitch/http/target_dispatch.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/retry/claimed_run.hpp"
@@ -62,6 +63,7 @@
   std::shared_ptr<const routing_view> View;
   request_plan Plan;
   caller_body Body;
+  request_record Record;
   claimed_run Claim;
   bool MightHaveRun = false; //!< In any attempt so far.
   attempt_progress LastProgress = attempt_progress::NothingSent;
--- a/src/pomeloswitch/http/forwarded_headers.cpp
+++ b/src/pomeloswitch/http/forwarded_headers.cpp
@@ -52,21 +52,6 @@
          !namedByConnection(Fields, Field);
 }
 
-bool isHex(std::string_view Text) {
-  return Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
-}
-
-//! The trace id of a valid version 00 traceparent, else empty.
-std::string_view traceIdOf(std::string_view Incoming) {
-  constexpr std::size_t Length = 55;
-  if (Incoming.size() != Length || !Incoming.starts_with("00-") ||
-      Incoming[35] != '-' || Incoming[52] != '-')
-    return {};
-  const std::string_view Id = Incoming.substr(3, 32);
-  const bool Zero = Id.find_first_not_of('0') == std::string_view::npos;
-  return isHex(Id) && !Zero ? Id : std::string_view();
-}
-
 } // namespace
 
 request_header headerForTarget(const request_header &FromCaller,
@@ -104,11 +89,4 @@
   return Header;
 }
 
-std::string continueTrace(std::string_view Incoming, std::string_view TraceId,
-                          std::string_view SpanId) {
-  const std::string_view Continued = traceIdOf(Incoming);
-  return fmt::format("00-{}-{}-01", Continued.empty() ? TraceId : Continued,
-                     SpanId);
-}
-
 } // namespace pomelo
--- a/src/pomeloswitch/http/forwarded_headers.hpp
+++ b/src/pomeloswitch/http/forwarded_headers.hpp
@@ -40,11 +40,6 @@
 //! target protocol.
 response_header headerForCaller(const response_header &FromTarget);
 
-//! A W3C traceparent that continues \p Incoming, or starts a trace if that is
-//! not valid. \p SpanId is 16 hexadecimal digits.
-std::string continueTrace(std::string_view Incoming, std::string_view TraceId,
-                          std::string_view SpanId);
-
 } // namespace pomelo
 
 #endif
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -5,6 +5,8 @@
 #include "pomeloswitch/admission/host_quota.hpp"
 #include "pomeloswitch/http/flight_table.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
+#include "pomeloswitch/observe/metrics.hpp"
+#include "pomeloswitch/observe/trace.hpp"
 #include "pomeloswitch/retry/break_watch.hpp"
 #include "pomeloswitch/retry/request_records.hpp"
 #include "pomeloswitch/routing/target_choice.hpp"
@@ -38,12 +40,6 @@
   std::atomic<steady_time::rep> ValidUntil{0};
 };
 
-struct traffic_counters {
-  std::atomic<std::uint64_t> Requests{0};
-  std::atomic<std::uint64_t> Refused{0};
-  std::atomic<std::uint64_t> OutcomeUnknown{0};
-};
-
 //! Belongs to one traffic thread; nothing here is locked.
 struct traffic_context {
   traffic_context(boost::asio::io_context &Io, const authority &Authority,
@@ -65,7 +61,8 @@
   upstream_pool Pool;
   flight_table Flights;
   random_engine Random;
-  traffic_counters Counters;
+  metric_set Metrics;
+  span_sink *Spans = nullptr; //!< Null where nothing is traced.
   break_watch Breaks;
   request_records *Records = nullptr; //!< Set before the first request.
   bool Stopping = false;
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -3,7 +3,11 @@
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 namespace pomelo::emulator {
@@ -13,9 +17,19 @@
 
 constexpr std::size_t LargeUploadBytes = std::size_t{64} << 20;
 
+std::string traceFile() {
+  return testing::TempDir() + "whole_path_trace_" + std::to_string(getpid());
+}
+
+std::string readText(const std::string &Path) {
+  std::ifstream File(Path);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
 deployment_plan smallPlan() {
   deployment_plan Plan;
   Plan.EntryHostsPerDomain = 1;
+  Plan.EntrySettings = {{"trace_file", traceFile()}};
   Plan.FailureDomains = {"a", "b"};
   Plan.Targets = {{"archive-a", "archive", "a", {"--checks-fence"}},
                   {"archive-b", "archive", "b", {"--checks-fence"}},
@@ -115,6 +129,26 @@
                      401, "unauthenticated"},
         refusal_case{"no_route", "/elsewhere", "", 404, "no_route"}));
 
+TEST_F(whole_path, a_request_is_counted_and_leaves_its_span) {
+  const std::string Address = Deployment->callerAddresses().front();
+  ASSERT_EQ(send(Address, "GET", "/reports/spanned").Status, 200);
+  const std::string Ops(
+      Deployment->at("a-e1").Description.at("ops_address").as_string());
+  const std::string Metrics = call(Ops, {"GET", "/metrics", {}, {}}).Body;
+  for (const std::string Expected :
+       {"pomelo_requests_total{account=\"large\",outcome=\"ok\",service="
+        "\"archive\"} ",
+        "pomelo_request_seconds_count{service=\"archive\"} ",
+        "pomelo_upstream_seconds_bucket{", "pomelo_lease_seconds "})
+    EXPECT_NE(Metrics.find(Expected), std::string::npos) << Expected;
+  EXPECT_TRUE(waitUntil(
+      [] {
+        return readText(traceFile()).find("\"pomelo.slot\"") !=
+               std::string::npos;
+      },
+      seconds(5)));
+}
+
 TEST_F(whole_path, sigterm_cuts_no_open_request) {
   deployment_plan Plan = smallPlan();
   Plan.Targets = {{"slow", "registry", "a", {"--work-us=1500000"}}};
