Measure what announced nodes cost a control process; list the guarantees

Cause: CAPACITY.md needs slopes, GUARANTEES.md needs a check that its tests exist, operators need a page. Change: control_slope_bench with a swarm of announced nodes, GUARANTEES.md with scripts/check_guarantees.sh (seen failing with an invented name), OPERATIONS.md, one linter finding.

--- a/benchmarks/proxy_bench.cpp
+++ b/benchmarks/proxy_bench.cpp
@@ -2,16 +2,13 @@
 //! stand-in target, in turn, and prints the medians of several rounds, one
 //! "name value unit" a line.
 #include "emulator/deployment.hpp"
+#include "process_usage.hpp"
 #include "proxy_closed_loop.hpp"
 
 #include <fmt/format.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 namespace pomelo::bench {
@@ -31,23 +28,6 @@
   return Plan;
 }
 
-//! Processor time of a process so far, in seconds.
-double processorSeconds(pid_t Pid) {
-  std::ifstream File(fmt::format("/proc/{}/stat", Pid));
-  std::string Line;
-  std::getline(File, Line);
-  // The fields after the parenthesised name; user and system time are the
-  // twelfth and thirteenth of them.
-  std::istringstream Fields(Line.substr(Line.rfind(')') + 1));
-  std::string Skipped;
-  for (int Number = 0; Number < 11; ++Number)
-    Fields >> Skipped;
-  double User = 0;
-  double System = 0;
-  Fields >> User >> System;
-  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 double median(std::vector<double> Values) {
   const auto Middle =
       Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -7,6 +7,8 @@
 cmake -S . -B "$build" -G Ninja >/dev/null
 cmake --build "$build" >&2
 "$build/benchmarks/proxy_bench"
+"$build/benchmarks/control_group_bench"
+"$build/benchmarks/control_slope_bench"
 # Google Benchmark's CSV has the name in field 1, the processor time in field 4
 # and its unit in field 5.
 for program in "$build"/benchmarks/*_benchmark; do
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,4 +7,5 @@
 build=${BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja -DPOMELO_SANITIZE="${SANITIZE:-OFF}"
 cmake --build "$build"
+BUILD_DIR="$build" scripts/check_guarantees.sh
 ctest --test-dir "$build" --output-on-failure -j "${TEST_JOBS:-4}"
--- a/tests/integration/bad_input_test.cpp
+++ b/tests/integration/bad_input_test.cpp
@@ -170,8 +170,10 @@
 }
 
 TEST_F(bad_input, a_connection_above_the_limit_gets_an_answer_and_is_closed) {
+  constexpr int AboveLimit = 40;
   std::vector<std::unique_ptr<raw_connection>> Held;
-  for (int Count = 0; Count < 40; ++Count)
+  Held.reserve(AboveLimit);
+  for (int Count = 0; Count < AboveLimit; ++Count)
     Held.push_back(std::make_unique<raw_connection>(entry()));
   const std::string Answer = Held.back()->receive(seconds(3));
   EXPECT_TRUE(Answer.starts_with("HTTP/1.1 503")) << Answer;
