Ask an entry host for its own view by JSON-RPC

Cause: the JSON-RPC code had no caller, and an operator could not compare what one entry host believes with what the leader answers. Change: POST /rpc at an entry host's operations address with describe and explain; pomeloctl host show and host explain. The blocking HTTP exchange of pomeloctl is one piece for both clients. Shown by: whole_path.an_entry_host_tells_what_it_knows_of_itself_and_of_a_key.

--- a/src/pomeloswitch/cli/admin_client.cpp
+++ b/src/pomeloswitch/cli/admin_client.cpp
@@ -1,14 +1,8 @@
 #include "pomeloswitch/cli/admin_client.hpp"
 
+#include "pomeloswitch/cli/http_exchange.hpp"
 #include "pomeloswitch/errors/error_kind.hpp"
-#include "pomeloswitch/wire/peer_link.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -19,18 +13,16 @@
 namespace pomelo {
 namespace {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 namespace json = boost::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 constexpr milliseconds Patience{10000};
-constexpr milliseconds CallTimeout{6000};
 constexpr milliseconds Pause{100};
 
-using request = http::request<http::string_body>;
-using response = http::response<http::string_body>;
+using request = client_request;
+using response = client_response;
 
 request makeRequest(const admin_request &Wanted, std::string_view Credential) {
   request Request;
@@ -48,35 +40,6 @@
   return Request;
 }
 
-//! One exchange on a connection of its own. The stream's timeout needs the
-//! asynchronous calls; the context runs just for this exchange.
-response exchangeWith(const std::string &Address, const request &Request) {
-  boost::asio::io_context Io;
-  beast::tcp_stream Stream(Io);
-  beast::flat_buffer Buffer;
-  response Response;
-  boost::system::error_code Failure;
-  Stream.expires_after(CallTimeout);
-  Stream.async_connect(parseEndpoint(Address), [&](beast::error_code Error) {
-    Failure = Error;
-    if (Error)
-      return;
-    http::async_write(Stream, Request,
-                      [&](beast::error_code Sent, std::size_t) {
-                        Failure = Sent;
-                        if (Sent)
-                          return;
-                        http::async_read(Stream, Buffer, Response,
-                                         [&](beast::error_code Read,
-                                             std::size_t) { Failure = Read; });
-                      });
-  });
-  Io.run();
-  if (Failure)
-    throw boost::system::system_error(Failure);
-  return Response;
-}
-
 error_kind kindNamed(std::string_view Name) {
   const auto Answers = errorAnswers();
   const auto Found = std::find_if(
--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/operator_commands.hpp"
 
 #include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/cli/rpc_client.hpp"
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/settings/json_document.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
@@ -38,6 +39,8 @@
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
   pomeloctl [options] explain SERVICE KEY
+  pomeloctl [options] host show ADDRESS
+  pomeloctl [options] host explain ADDRESS SERVICE KEY
   pomeloctl [options] control list
   pomeloctl [options] control add ID ADDRESS
   pomeloctl [options] control remove ID
@@ -236,7 +239,27 @@
   return 0;
 }
 
+json::object askEntryHost(const arguments &Arguments) {
+  const std::string Address = Arguments.at("ADDRESS").asString();
+  if (given(Arguments, "show"))
+    return callEntryHost(Address, "describe", {});
+  return callEntryHost(Address, "explain",
+                       {{"service", Arguments.at("SERVICE").asString()},
+                        {"key", Arguments.at("KEY").asString()}});
+}
+
+void print(const arguments &Arguments, const json::object &Answer) {
+  if (given(Arguments, "--json"))
+    fmt::print("{}\n", json::serialize(Answer));
+  else
+    printForPeople(Answer, 0);
+}
+
 int run(const arguments &Arguments) {
+  if (given(Arguments, "host")) {
+    print(Arguments, askEntryHost(Arguments));
+    return 0;
+  }
   const admin_request Request = makeRequest(Arguments);
   admin_client Client = makeClient(Arguments);
   json::object Answer = Client.call(Request);
@@ -244,10 +267,7 @@
     return writeExport(Arguments.at("FILE").asString(), Answer);
   if (given(Arguments, "--wait") && isPending(Answer))
     awaitInForce(Client, Answer);
-  if (given(Arguments, "--json"))
-    fmt::print("{}\n", json::serialize(Answer));
-  else
-    printForPeople(Answer, 0);
+  print(Arguments, Answer);
   return given(Arguments, "--wait") && isPending(Answer) ? PendingExitCode : 0;
 }
 
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -58,6 +58,9 @@
   Records =
       std::make_unique<log_records>(Io, *Session, Settings.HostId, Incarnation);
   Announcements = std::make_unique<announce_api>(Io, *Session);
+  Diagnostics = std::make_unique<diagnostics>(
+      [this] { return describe(); },
+      [this]() -> const cluster_state & { return Session->state(); });
   auto CallerAddress = parseEndpoint(Settings.CallerAddress);
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
@@ -151,6 +154,9 @@
                          "no lease from the control group");
     co_return makeJsonResponse(R"({"ready":true})", Request.version());
   }
+  if (Request.target() == "/rpc" && Request.method() == http::verb::post)
+    co_return makeJsonResponse(Diagnostics->handle(Request.body()),
+                               Request.version());
   if (Request.target() == "/metrics") {
     text_response Response = makeJsonResponse("", Request.version());
     Response.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -241,7 +247,11 @@
       {"failure_domain", Settings.FailureDomain},
       {"caller_address", toString(Threads.front()->address())},
       {"announce_address", toString(AnnounceServer->address())},
-      {"ops_address", toString(OpsServer->address())}};
+      {"ops_address", toString(OpsServer->address())},
+      {"index", Session->state().index()},
+      {"version", Session->state().configVersion()},
+      {"may_route", Authority.valid(steady_clock::now())},
+      {"stopping", Stopping}};
   return boost::json::serialize(Description);
 }
 
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -4,6 +4,7 @@
 
 #include "pomeloswitch/entry/announce_api.hpp"
 #include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/entry/diagnostics.hpp"
 #include "pomeloswitch/entry/log_records.hpp"
 #include "pomeloswitch/entry/traffic_thread.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
@@ -55,6 +56,7 @@
   std::unique_ptr<control_session> Session;
   std::unique_ptr<log_records> Records;
   std::unique_ptr<announce_api> Announcements;
+  std::unique_ptr<diagnostics> Diagnostics;
   std::vector<std::unique_ptr<traffic_thread>> Threads;
   std::unique_ptr<simple_server> AnnounceServer;
   std::unique_ptr<simple_server> OpsServer;
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -149,6 +149,22 @@
       seconds(5)));
 }
 
+TEST_F(whole_path, an_entry_host_tells_what_it_knows_of_itself_and_of_a_key) {
+  const std::string Ops(
+      Deployment->at("a-e1").Description.at("ops_address").as_string());
+  const auto Shown = Deployment->ctl({"host", "show", Ops});
+  ASSERT_EQ(Shown.ExitCode, 0) << Shown.Output;
+  const auto Host = boost::json::parse(Shown.Output).as_object();
+  EXPECT_EQ(Host.at("host_id").as_string(), "a-e1");
+  EXPECT_TRUE(Host.at("may_route").as_bool());
+  const auto Seen = Deployment->ctl({"host", "explain", Ops, "archive", "r7"});
+  const auto Agreed = Deployment->ctl({"explain", "archive", "r7"});
+  EXPECT_EQ(boost::json::parse(Seen.Output).at("owner"),
+            boost::json::parse(Agreed.Output).at("owner"));
+  EXPECT_EQ(Deployment->ctl({"host", "explain", Ops, "none", "r7"}).ExitCode,
+            7);
+}
+
 TEST_F(whole_path, sigterm_cuts_no_open_request) {
   deployment_plan Plan = smallPlan();
   Plan.Targets = {{"slow", "registry", "a", {"--work-us=1500000"}}};
