Refuse a rate only on the leader's word

Ruled out: more burst after a change of leader, which would break the bound. Change: such a request waits up to 1 s, within its deadline, for an answer that is younger than itself; an account above its rate is refused as fast as before while a leader answers. Shown by: quota_rules.host_tells_whether_the_leader_has_answered_since.

--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -85,6 +85,11 @@
                   std::chrono::ceil<std::chrono::milliseconds>(Due));
 }
 
+bool account_bucket::answeredSince(time_point Since) const {
+  const std::lock_guard Lock(Mutex);
+  return AnsweredAt >= Since;
+}
+
 bool account_bucket::apply(const account_grant &Grant, time_point Until,
                            time_point Now) {
   const std::lock_guard Lock(Mutex);
@@ -100,6 +105,7 @@
   Decided = true;
   Unreported = true;
   ValidUntil = Until;
+  AnsweredAt = Now;
   return Lowered;
 }
 
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -36,6 +36,9 @@
   //! newly joined or follows a new leader has to wait for that.
   [[nodiscard]] bool decided(time_point Now) const;
 
+  //! Whether the leader has answered for the account since \p Since.
+  [[nodiscard]] bool answeredSince(time_point Since) const;
+
   //! When a refused request may come back.
   [[nodiscard]] std::chrono::milliseconds retryAfter() const;
 
@@ -75,6 +78,7 @@
   demand_meter Demand;
   time_point UpdatedAt{};
   time_point ValidUntil{};
+  time_point AnsweredAt{};
 
   [[nodiscard]] double burstHeld() const {
     return BurstTotal - BurstSpent - BurstReturned;
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -17,7 +17,9 @@
 
 //! A heartbeat to the leader and back takes a fraction of this.
 constexpr milliseconds MaxWait{100};
-constexpr milliseconds MaxUndecidedWait{500};
+//! A new leader answers within this time. Until one has, whether the account is
+//! above its rate is not known.
+constexpr milliseconds MaxUnansweredWait{1000};
 constexpr milliseconds PollInterval{5};
 
 account_bucket &bucketOf(traffic_context &Context, std::string_view Account) {
@@ -47,9 +49,13 @@
   const wait_place Place(Bucket);
   asio::steady_timer Timer(Context.Io);
   auto Now = steady_clock::now();
+  const steady_time Began = Now;
   const steady_time GiveUp = std::min(Deadline, Now + MaxWait);
-  const steady_time LastGiveUp = std::min(Deadline, Now + MaxUndecidedWait);
-  while (Now < GiveUp || (Now < LastGiveUp && !Bucket.decided(Now))) {
+  const steady_time LastGiveUp = std::min(Deadline, Now + MaxUnansweredWait);
+  const auto Unanswered = [&] {
+    return !Bucket.decided(Now) || !Bucket.answeredSince(Began);
+  };
+  while (Now < GiveUp || (Now < LastGiveUp && Unanswered())) {
     Context.Quota.askForMore(Now);
     Timer.expires_at(std::min(Deadline, Now + PollInterval));
     co_await Timer.async_wait(asio::use_awaitable);
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -126,6 +126,15 @@
   }
 }
 
+TEST_F(quota_rules, host_tells_whether_the_leader_has_answered_since) {
+  occupy("a", A);
+  const auto Asked = Now += milliseconds(1);
+  EXPECT_FALSE(A.bucket("acc").answeredSince(Asked));
+  arrive(A, 1);
+  exchange("a", A);
+  EXPECT_TRUE(A.bucket("acc").answeredSince(Asked));
+}
+
 TEST_F(quota_rules, host_has_nothing_after_its_lease) {
   occupy("a", A);
   exchange("a", A);
