Hand out small accounts' rates by tokens, log each decision as JSON

Change: a rate below 20/s for each host that uses it is not shared out. Log lines are JSON objects on standard output, queued, dropped when the queue is full.

--- a/src/pomeloswitch/admission/account_ledger.cpp
+++ b/src/pomeloswitch/admission/account_ledger.cpp
@@ -14,6 +14,11 @@
 //! A share changes only by more than this part of it.
 constexpr double ShareHysteresis = 0.1;
 
+//! A rate below this for each host that uses it, requests/s, is not shared out:
+//! the requests of a host come too rarely to tell its share, and what a host
+//! does not use would be missing at the others. It is handed out by tokens.
+constexpr double SmallestShare = 20;
+
 //! How long a division of the rate is used; a new one costs a look at every
 //! host.
 constexpr milliseconds RuleInterval{20};
@@ -181,7 +186,10 @@
   const issued Last = Holding.Issued.empty() ? issued() : Holding.Issued.back();
   const double FreeRate =
       std::max(0.0, Rate - leasedRate()) + Holding.rateBound();
-  double Share = std::min(targetRate(Holding.Demand, Now), FreeRate);
+  const bool Shared =
+      Rate >= SmallestShare * static_cast<double>(Holdings.size());
+  double Share =
+      Shared ? std::min(targetRate(Holding.Demand, Now), FreeRate) : 0;
   if (Share > 0 &&
       std::abs(Share - Last.RatePerSecond) <= ShareHysteresis * Share &&
       Last.RatePerSecond <= FreeRate)
--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -52,6 +52,9 @@
 }
 
 int runDaemon(std::string_view Name, const std::function<int()> &Main) {
+  struct log_end {
+    ~log_end() { finishLogging(); }
+  } const LogEnd;
   try {
     return Main();
   } catch (const pomelo_error &Failure) {
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -5,13 +5,16 @@
 #include "pomeloswitch/http/claim_exchange.hpp"
 #include "pomeloswitch/http/crash_check.hpp"
 #include "pomeloswitch/http/readable_watch.hpp"
+#include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
+#include "pomeloswitch/state/key_slot.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -52,6 +55,40 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
+const part_log &requestLog() {
+  static const part_log Log("entry.request");
+  return Log;
+}
+
+//! One in this many requests that went as usual is logged.
+constexpr std::uint64_t UsualSample = 16;
+
+bool sampled(std::string_view RequestId) {
+  return stableHash(RequestId) % UsualSample == 0;
+}
+
+std::int64_t millisecondsOf(steady_clock::duration Duration) {
+  return std::chrono::duration_cast<milliseconds>(Duration).count();
+}
+
+std::string_view nameOf(send_end End) {
+  switch (End) {
+  case send_end::Answered:
+    return "answered";
+  case send_end::Shed:
+    return "shed";
+  case send_end::Failed:
+    return "failed";
+  case send_end::Lost:
+    return "connection_lost";
+  case send_end::Silent:
+    return "silent";
+  case send_end::Undecided:
+    break;
+  }
+  return "undecided";
+}
+
 //! What the attempt tells about its target.
 send_end sendEndOf(const target_dispatch &Dispatch, bool CallerGone) {
   if (CallerGone)
@@ -100,6 +137,7 @@
   if (Refusal)
     Record.failed(Refusal->kind());
   Record.close(Context.Metrics, Context.Spans);
+  logOutcome(Refusal);
   if (!MightHaveRun)
     Claim.notRun();
   if (CallerGone)
@@ -111,7 +149,33 @@
   co_return CallerKeepAlive;
 }
 
+//! One line tells what became of the request and by which state; those that
+//! went as usual are sampled by the caller's id, alike on every host.
+void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
+  const bool Usual = !Refusal && !CallerGone && Attempts <= 1;
+  if (Usual && !sampled(Plan.RequestId))
+    return;
+  const auto Now = steady_clock::now();
+  boost::json::object Fields{
+      {"request", Plan.RequestId},     {"route", Plan.Route.Name},
+      {"service", Plan.Service},       {"account", Plan.Account},
+      {"config", View->ConfigNumber},  {"index", View->Index},
+      {"lease_left_ms", millisecondsOf(Context.Authority.validUntil() - Now)},
+      {"took_ms", millisecondsOf(Now - Began)},
+      {"attempts", Tries}};
+  if (CallerGone)
+    Fields["caller"] = "gone";
+  if (Refusal) {
+    Fields["error"] = answerFor(Refusal->kind()).Name;
+    Fields["reason"] = Refusal->what();
+    Fields["retry_after_ms"] = Refusal->retryAfter().count();
+  }
+  requestLog().event(Refusal ? log_level::Warn : log_level::Info,
+                     Refusal ? "request_failed" : "request_served", Fields);
+}
+
 asio::awaitable<void> exchange::serve() {
+  Plan.RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = makeRequestPlan(Request, Context);
   Record.routed(Plan.Route.Name, Plan.Service, Plan.Account);
   if (Plan.Route.Access == route_access::Account) {
@@ -297,8 +361,12 @@
   if (LastBreak == attempt_break::ConnectionLost && !CallerGone)
     ++LostConnections;
   const auto Now = steady_clock::now();
-  Context.Book.ended(Target, sendEndOf(Dispatch, CallerGone), Now - SentAt,
-                     Now);
+  const send_end End = sendEndOf(Dispatch, CallerGone);
+  Context.Book.ended(Target, End, Now - SentAt, Now);
+  Tries.push_back(boost::json::object{{"target", Target.Member.TargetId},
+                                      {"sent_ms", millisecondsOf(SentAt - Began)},
+                                      {"took_ms", millisecondsOf(Now - SentAt)},
+                                      {"end", nameOf(End)}});
 }
 
 //! Bridges a change of leader. The account's rate is leased too, so that
@@ -320,11 +388,10 @@
 steady_clock::time_point exchange::waitLimit() const {
   const auto Now = steady_clock::now();
   const auto Left = Plan.Deadline - Now;
-  const auto Aim = Plan.Route.AimMs > 0
-                       ? steady_clock::duration(milliseconds(Plan.Route.AimMs))
-                       : Left;
-  return Now + std::min({steady_clock::duration(MaxOwnerWait), Left,
-                         Aim * WaitShareOfAim / 100});
+  if (Plan.Route.AimMs == 0)
+    return Now + std::min(steady_clock::duration(MaxOwnerWait), Left);
+  const steady_clock::duration Aim = milliseconds(Plan.Route.AimMs);
+  return Now + std::min(Left, Aim * WaitShareOfAim / 100);
 }
 
 void exchange::checkCallerWaits() const {
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/json/array.hpp>
 
 #include <chrono>
 #include <functional>
@@ -55,6 +56,7 @@
   bool admitCold(const routing_service &Service, const routing_target &Target,
                  bool Take);
   void watchCaller();
+  void logOutcome(const std::optional<pomelo_error> &Refusal) const;
   void checkMayDispatch(const slot_owner &Owner) const;
   request_header dispatchHeader(const slot_owner &Owner);
   boost::asio::awaitable<void> relayAnswer(upstream_loan &Connection,
@@ -81,6 +83,9 @@
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_break LastBreak = attempt_break::None;
   unsigned Attempts = 0;
+  boost::json::array Tries; //!< What became of each send, for the log.
+  std::chrono::steady_clock::time_point Began =
+      std::chrono::steady_clock::now();
   unsigned LostConnections = 0; //!< Attempts that a target broke off.
   std::vector<std::string> TriedTargets;
   bool CallerKeepAlive = true;
--- a/src/pomeloswitch/observe/log.cpp
+++ b/src/pomeloswitch/observe/log.cpp
@@ -2,19 +2,46 @@
 
 #include "pomeloswitch/errors/error_kind.hpp"
 
-#include <log4cxx/basicconfigurator.h>
+#include <boost/json.hpp>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
 
 #include <array>
+#include <iterator>
 #include <string>
 
 namespace pomelo {
 namespace {
 
-constexpr std::string_view LinePattern = "%d{ISO8601} %-5p %c: %m%n";
+//! Lines that may wait for the writing thread.
+constexpr int QueuedLines = 2000;
+
+//! Marks a message that is already made of JSON members.
+constexpr char MembersMark = '\x01';
+
+//! One JSON object a line. Times are Unix milliseconds.
+class json_layout final : public log4cxx::PatternLayout {
+public:
+  void format(log4cxx::LogString &Output,
+              const log4cxx::spi::LoggingEventPtr &Event,
+              log4cxx::helpers::Pool &) const override {
+    const std::string Message = Event->getMessage();
+    const std::string Members =
+        !Message.empty() && Message.front() == MembersMark
+            ? Message.substr(1)
+            : fmt::format("\"message\":{}", boost::json::serialize(
+                                                boost::json::string(Message)));
+    fmt::format_to(std::back_inserter(Output),
+                   "{{\"time_ms\":{},\"level\":\"{}\",\"part\":\"{}\",{}}}\n",
+                   Event->getTimeStamp() / 1000, Event->getLevel()->toString(),
+                   Event->getLoggerName(), Members);
+  }
+};
 
 log4cxx::LevelPtr toLibraryLevel(log_level Level) {
   const std::array Levels{log4cxx::Level::getDebug(), log4cxx::Level::getInfo(),
@@ -24,24 +51,33 @@
 }
 
 log4cxx::AppenderPtr makeAppender(std::string_view File) {
-  auto Layout =
-      std::make_shared<log4cxx::PatternLayout>(std::string(LinePattern));
+  auto Layout = std::make_shared<json_layout>();
   if (File.empty())
     return std::make_shared<log4cxx::ConsoleAppender>(
-        Layout, log4cxx::ConsoleAppender::getSystemErr());
+        Layout, log4cxx::ConsoleAppender::getSystemOut());
   return std::make_shared<log4cxx::FileAppender>(Layout, std::string(File),
                                                  true);
 }
 
+log4cxx::AppenderPtr makeQueue(const log4cxx::AppenderPtr &Writer) {
+  auto Queue = std::make_shared<log4cxx::AsyncAppender>();
+  Queue->setBufferSize(QueuedLines);
+  Queue->setBlocking(false);
+  Queue->addAppender(Writer);
+  return Queue;
+}
+
 } // namespace
 
 void configureLogging(log_level Threshold, std::string_view File) {
   auto Root = log4cxx::Logger::getRootLogger();
   Root->removeAllAppenders();
-  Root->addAppender(makeAppender(File));
+  Root->addAppender(makeQueue(makeAppender(File)));
   Root->setLevel(toLibraryLevel(Threshold));
 }
 
+void finishLogging() { log4cxx::LogManager::shutdown(); }
+
 log_level parseLogLevel(std::string_view Text) {
   constexpr std::array<std::string_view, 4> Names{"debug", "info", "warn",
                                                   "error"};
@@ -64,6 +100,17 @@
 
 part_log::~part_log() = default;
 
+void part_log::event(log_level Level, std::string_view Name,
+                     const boost::json::object &Fields) const {
+  if (!enabled(Level))
+    return;
+  std::string Line = fmt::format("{}\"event\":\"{}\"", MembersMark, Name);
+  for (const auto &[Field, Value] : Fields)
+    fmt::format_to(std::back_inserter(Line), ",\"{}\":{}",
+                   std::string_view(Field), boost::json::serialize(Value));
+  write(Level, Line);
+}
+
 bool part_log::enabled(log_level Level) const {
   return Sink->Logger->isEnabledFor(toLibraryLevel(Level));
 }
--- a/src/pomeloswitch/observe/log.hpp
+++ b/src/pomeloswitch/observe/log.hpp
@@ -1,7 +1,11 @@
-//! Structured logging: one prefix per part, short sentences.
+//! Structured logging: one JSON object a line, one prefix per part.
+//!
+//! Lines go through a bounded queue to a thread that writes them. A full queue
+//! drops lines, never waits, and a line then tells how many were dropped.
 #ifndef POMELOSWITCH_OBSERVE_LOG_HPP
 #define POMELOSWITCH_OBSERVE_LOG_HPP
 
+#include <boost/json/fwd.hpp>
 #include <fmt/format.h>
 
 #include <memory>
@@ -11,10 +15,13 @@
 
 enum class log_level { Debug, Info, Warn, Error };
 
-//! Sends every log line of the process to standard error, or appends to
+//! Sends every log line of the process to standard output, or appends to
 //! \p File if it is not empty.
 void configureLogging(log_level Threshold, std::string_view File);
 
+//! Writes what is still queued; nothing is logged afterwards.
+void finishLogging();
+
 //! Parses "debug", "info", "warn" or "error"; throws BadSettings otherwise.
 log_level parseLogLevel(std::string_view Text);
 
@@ -26,6 +33,11 @@
   part_log(const part_log &) = delete;
   part_log &operator=(const part_log &) = delete;
 
+  //! One decision or change of belief with the inputs that led to it. Names
+  //! and units of the fields are listed in docs/OBSERVING.md.
+  void event(log_level Level, std::string_view Name,
+             const boost::json::object &Fields) const;
+
   template <typename... Args>
   void debug(fmt::format_string<Args...> Format, Args &&...Values) const {
     if (enabled(log_level::Debug))
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -46,6 +46,7 @@
   auto View = std::make_shared<routing_view>();
   View->Index = State.index();
   View->ConfigVersion = State.configVersion();
+  View->ConfigNumber = State.configurationNumber();
   View->Inventory = State.inventoryPart();
   View->Rules = State.rulesPart();
   View->Keys = State.keysPart();
--- a/src/pomeloswitch/routing/routing_view.hpp
+++ b/src/pomeloswitch/routing/routing_view.hpp
@@ -36,6 +36,7 @@
 struct routing_view {
   std::uint64_t Index = 0; //!< Log index that it pictures.
   std::uint64_t ConfigVersion = 0;
+  std::uint64_t ConfigNumber = 0; //!< The operators' own, for logs.
   std::shared_ptr<const inventory> Inventory;
   std::shared_ptr<const rules> Rules;
   std::shared_ptr<const key_map> Keys;
