Take a refused connection as no proof of a process's end

Change: only expiry, a release or a later start of the process frees keys; hold 3 s so that a real crash costs less. Crashes over a request are told by a later start as well.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -542,7 +542,11 @@
 asio::awaitable<void> exchange::investigate(routing_target_ptr Target) {
   const crash_report Report{fingerprint(), Target->Member.TargetId,
                             Target->Member.Incarnation};
-  const bool Refuses = co_await refusesConnections(Target->Address);
+  // A target that tells when it was started shows by a later start that it
+  // has crashed; a refusal alone may come from something on the way.
+  const bool ToldByStart = Target->Member.StartedMs > 0;
+  const bool Refuses =
+      !ToldByStart && co_await refusesConnections(Target->Address);
   if (!Refuses) {
     Context.Breaks.add(Report, steady_clock::now());
     co_return;
--- a/src/pomeloswitch/ownership/order_keeper.cpp
+++ b/src/pomeloswitch/ownership/order_keeper.cpp
@@ -212,6 +212,7 @@
   (Done ? Record.DoneAt : Record.FailedAt) = Now;
   Record.Suspect |= Result.Outcome == order_outcome::Refused ||
                     Result.Outcome == order_outcome::Broken ||
+                    Result.Outcome == order_outcome::Unreachable ||
                     Result.Outcome == order_outcome::Gone;
   if (Result.Outcome != order_outcome::Gone)
     return;
--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -42,7 +42,8 @@
   Refused,  //!< The target has seen a higher token on one of the keys.
   NoAnswer, //!< It may be carried out yet.
   Broken,   //!< Likewise, and the target's process may be another one now.
-  Gone,     //!< Nothing listens there: the process has ended.
+  Unreachable, //!< Not carried out, and its process may be another one now.
+  Gone,     //!< Another process has its address, so its own has ended.
 };
 
 struct order_result {
@@ -51,8 +52,8 @@
 };
 
 struct order_times {
-  milliseconds Hold{4000};
-  milliseconds RenewEvery{1000};
+  milliseconds Hold{3000};
+  milliseconds RenewEvery{700};
   milliseconds RetryAfter{300};
   //! A call is given up after this long.
   milliseconds CallTimeout{700};
@@ -64,7 +65,7 @@
   double MaxClockDrift = 0.03;
   //! A target none of whose calls was done for so long is given up, so that
   //! what it may hold runs out.
-  milliseconds GivenUpAfter{2000};
+  milliseconds GivenUpAfter{1500};
 };
 
 class order_keeper {
