Place keys by measured load, bound what waits at a target

Change: entry hosts report arrivals by slot and the targets' speeds; the planner weighs slots by them. A window on what each host has in flight at a target shrinks while requests wait there. Waiting requests go by priority and deadline.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -155,6 +155,7 @@
       Leases.startTerm(State, steady_clock::now());
       Keeper.startTerm(State, steady_clock::now());
       ++OrderTerm;
+      Loads.clear();
       Rates.startTerm(randomTerm(), steady_clock::now());
     }
     Text.info("{} {} lead.", Settings.HostId,
@@ -241,6 +242,7 @@
   if (Member == State.entryHosts().end() ||
       Member->second.Incarnation != Beat.incarnation())
     return;
+  Loads.heard(Beat, Now);
   Ack->set_commit_index(Log->commitIndex());
   Ack->set_lease_ms(
       static_cast<std::uint32_t>(Leases.times().HostLease.count()));
@@ -362,7 +364,7 @@
     return;
   Leases.forgetExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
-  std::vector<wire::command> Moves = Planner.plan(State, Leases, Now);
+  std::vector<wire::command> Moves = Planner.plan(State, Leases, Loads, Now);
   std::move(Moves.begin(), Moves.end(), std::back_inserter(Commands));
   PlannedInFlight = Commands.size();
   for (wire::command &Command : Commands)
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/ownership/load_table.hpp"
 #include "pomeloswitch/ownership/order_keeper.hpp"
 #include "pomeloswitch/ownership/slot_planner.hpp"
 #include "pomeloswitch/ownership/target_caller.hpp"
@@ -87,6 +88,7 @@
   cluster_state State;
   lease_table Leases;
   rate_ledger Rates;
+  load_table Loads;
   slot_planner Planner;
   order_keeper Keeper;
   std::unique_ptr<target_caller> Caller; //!< Null where no target is called.
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -273,6 +273,7 @@
   for (auto &[Id, Report] : Reports)
     *Beat->add_targets() = *Report;
   Callbacks.AddQuota(*Beat);
+  Callbacks.AddLoads(*Beat);
   const steady_time Now = steady_clock::now();
   SentAt[Beat->sequence()] = Now;
   if (SentAt.size() > MaxUnacknowledged)
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -48,6 +48,8 @@
     std::function<std::uint64_t()> QuiescedIndex;
     //! Adds the quota report to a heartbeat.
     std::function<void(wire::heartbeat &)> AddQuota;
+    //! Adds the load reports that are new since the last heartbeat.
+    std::function<void(wire::heartbeat &)> AddLoads;
     //! What the leader granted counts until the time given.
     std::function<void(const wire::heartbeat_ack &, steady_time)> OnQuota;
     //! The host may route until then by the state given last.
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -116,6 +116,7 @@
   Callbacks.AddQuota = [this](wire::heartbeat &Beat) {
     encode(Quota.report(steady_clock::now()), *Beat.mutable_quota());
   };
+  Callbacks.AddLoads = [this](wire::heartbeat &Beat) { addLoads(Beat); };
   Callbacks.OnQuota = [this](const wire::heartbeat_ack &Ack,
                              steady_time Until) {
     if (Quota.apply(Ack.sequence(), decode(Ack.quota()), Until,
@@ -201,6 +202,36 @@
   co_return All.text();
 }
 
+void entry_host::addLoads(wire::heartbeat &Beat) {
+  std::vector<std::shared_ptr<const traffic_thread::load_report>> Latest;
+  for (const auto &Thread : Threads)
+    Latest.push_back(Thread->loads());
+  if (Latest == ToldLoads)
+    return;
+  ToldLoads = std::move(Latest);
+  std::map<std::string, std::map<std::uint32_t, float>> Sums;
+  for (const auto &Report : ToldLoads) {
+    if (!Report)
+      continue;
+    for (const auto &[Service, Rates] : Report->Rates)
+      for (const slot_rate &Rate : Rates)
+        Sums[Service][Rate.Slot] += Rate.PerSecond;
+    for (const auto &[TargetId, Seconds] : Report->Speeds) {
+      auto *Speed = Beat.add_speeds();
+      Speed->set_target_id(TargetId);
+      Speed->set_seconds(static_cast<float>(Seconds));
+    }
+  }
+  for (const auto &[Service, Rates] : Sums) {
+    auto *Load = Beat.add_loads();
+    Load->set_service(Service);
+    for (const auto &[Slot, PerSecond] : Rates) {
+      Load->add_slots(Slot);
+      Load->add_per_second(PerSecond);
+    }
+  }
+}
+
 void entry_host::flushSpans() {
   Spans.flush();
   SpanTimer.expires_after(SpanInterval);
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -44,6 +44,7 @@
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
   [[nodiscard]] adopted_state adopted() const;
   boost::asio::awaitable<std::string> metrics();
+  void addLoads(wire::heartbeat &Beat);
   void flushSpans();
   void onThreadIdle();
   void settleRecords();
@@ -69,6 +70,8 @@
   std::size_t BusyThreads = 0;
   steady_time SettleUntil{};
   bool Stopping = false;
+  //! The load report of each thread that was told last.
+  std::vector<std::shared_ptr<const traffic_thread::load_report>> ToldLoads;
 };
 
 //! Builds an entry host; the addresses are bound by build().
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
+constexpr auto LoadsInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -49,6 +50,7 @@
     Context.View = View;
     Context.Pool.retain(*View);
     Context.Book.retain(*View);
+    Context.Waiting.tidy();
     reportRestarts();
     updateQuiesced();
     Adopted.store(View, std::memory_order_release);
@@ -91,12 +93,22 @@
                  std::memory_order_release);
 }
 
+void traffic_thread::publishLoads(steady_time Now) {
+  if (Now < LoadsDue)
+    return;
+  LoadsDue = Now + LoadsInterval;
+  Loads.store(std::make_shared<const load_report>(load_report{
+                  Context.Arrivals.rates(Now), Context.Book.speeds()}),
+              std::memory_order_release);
+}
+
 void traffic_thread::tick() {
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
     updateQuiesced();
+    publishLoads(std::chrono::steady_clock::now());
     tick();
   });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -55,6 +55,16 @@
     return Quiesced.load(std::memory_order_acquire);
   }
 
+  //! What one thread tells the leader about load.
+  struct load_report {
+    slot_rates Rates;
+    std::map<std::string, double> Speeds; //!< Seconds, by target.
+  };
+  //! Any thread: the latest report, or null before the first.
+  [[nodiscard]] std::shared_ptr<const load_report> loads() const {
+    return Loads.load(std::memory_order_acquire);
+  }
+
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const {
     return Server.address();
   }
@@ -65,6 +75,7 @@
   void updateQuiesced();
   void reportRestarts();
   void tick();
+  void publishLoads(steady_time Now);
   void awaitIdle(std::function<void()> OnIdle);
 
   boost::asio::io_context Io{1};
@@ -75,6 +86,8 @@
   boost::asio::steady_timer Ticker;
   boost::asio::steady_timer IdleTimer;
   std::atomic<std::uint64_t> Quiesced{0};
+  std::atomic<std::shared_ptr<const load_report>> Loads;
+  steady_time LoadsDue{};
   std::atomic<std::shared_ptr<const routing_view>> Adopted{
       std::make_shared<const routing_view>()};
   std::thread Thread;
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -66,6 +66,16 @@
   co_return false;
 }
 
+std::string describeExcess(const routing_view &View, std::string_view Account) {
+  const client_account *Known =
+      View.Inventory ? View.Inventory->findAccount(Account) : nullptr;
+  return Known ? fmt::format("the client account {} is above its rate of {}/s "
+                             "and its burst of {}",
+                             Account, Known->RatePerSecond, Known->Burst)
+               : fmt::format("the client account {} is above its rate",
+                             Account);
+}
+
 } // namespace
 
 asio::awaitable<void> admitToAccount(traffic_context &Context,
@@ -83,10 +93,9 @@
   if (!Bucket.decided(steady_clock::now()))
     throw pomelo_error(error_kind::NotAuthoritative,
                        "this entry host has no part of the account's rate");
-  throw pomelo_error(
-      error_kind::RateExceeded,
-      fmt::format("the client account {} is above its rate", Account),
-      Bucket.retryAfter());
+  throw pomelo_error(error_kind::RateExceeded,
+                     describeExcess(*Context.View, Account),
+                     Bucket.retryAfter());
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -32,7 +33,7 @@
 
 //! A request that costs each target its process must not take a third one.
 constexpr unsigned MaxLostConnections = 2;
-constexpr auto OwnerPollInterval = milliseconds(20);
+constexpr auto OwnerPollInterval = milliseconds(10);
 //! How long a caller that still sends is listened to after its answer; closing
 //! at once would reset the connection and take the answer away from it.
 constexpr auto LingerTime = std::chrono::seconds(1);
@@ -262,8 +263,7 @@
       Owner.Target = co_await awaitTarget();
     const connection_need Need =
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
-    auto Connection =
-        co_await Context.Pool.acquire(*Owner.Target, Need, Plan.Deadline);
+    auto Connection = co_await connect(*Owner.Target, Need);
     co_await dispatch(Owner, Connection, Flight);
     Flight.settled();
     co_return true;
@@ -281,6 +281,17 @@
   co_return false;
 }
 
+asio::awaitable<upstream_loan> exchange::connect(const routing_target &Target,
+                                                 connection_need Need) {
+  try {
+    co_return co_await Context.Pool.acquire(Target, Need, Plan.Deadline);
+  } catch (const pomelo_error &Failure) {
+    if (Failure.kind() == error_kind::UpstreamFailed)
+      Context.Book.unreachable(Target, steady_clock::now());
+    throw;
+  }
+}
+
 asio::awaitable<void> exchange::dispatch(const slot_owner &Owner,
                                          upstream_loan &Connection,
                                          flight_table::flight &Flight) {
@@ -404,6 +415,8 @@
 asio::awaitable<slot_owner> exchange::awaitOwner() {
   asio::steady_timer Timer(Context.Io);
   const auto GiveUp = waitLimit();
+  std::optional<wait_ranks::place> Place;
+  std::string Queue;
   for (;;) {
     checkCallerWaits();
     View = Context.View;
@@ -411,10 +424,23 @@
     if (!Service || !Service->Slots)
       throw pomelo_error(error_kind::NoTarget, "the service has no key slots");
     slot_owner Owner = findOwner(*View, *Service, *Plan.Key);
+    if (!std::exchange(ArrivalCounted, true))
+      Context.Arrivals.arrived(Plan.Service, Owner.Slot);
     const auto Now = steady_clock::now();
     const bool Authorised = Context.Authority.valid(Now);
-    const bool Ready = Owner.Target && Context.Book.usable(*Owner.Target, Now);
-    if (Ready && Authorised && admitCold(*Service, *Owner.Target, true))
+    // Without an owner the request waits for whichever target the slot's keys
+    // go to, so its rank among the service's counts.
+    const std::string Wanted =
+        Owner.Target ? Owner.Target->Member.TargetId : Plan.Service;
+    if (!Place || Wanted != Queue) {
+      Queue = Wanted;
+      Place.emplace(Context.Waiting, Queue, Plan.Priority, Plan.Deadline);
+    }
+    const bool Ready = Owner.Target &&
+                       Context.Book.usable(*Owner.Target, Now) &&
+                       Context.Book.hasRoom(*Owner.Target, Now);
+    if (Ready && Authorised && !Place->behind(1) &&
+        admitCold(*Service, *Owner.Target, true))
       co_return Owner;
     const bool Last = Now + OwnerPollInterval >= GiveUp;
     if (Last && !Authorised)
@@ -447,10 +473,13 @@
 asio::awaitable<routing_target_ptr> exchange::awaitTarget() {
   asio::steady_timer Timer(Context.Io);
   const auto GiveUp = waitLimit();
+  const wait_ranks::place Place(Context.Waiting, Plan.Service, Plan.Priority,
+                                Plan.Deadline);
   for (;;) {
     checkCallerWaits();
-    if (auto Target = chooseTarget())
-      co_return Target;
+    if (!Place.behind(1))
+      if (auto Target = chooseTarget())
+        co_return Target;
     if (steady_clock::now() + OwnerPollInterval >= GiveUp)
       throw pomelo_error(error_kind::NoTarget,
                          "the service has no target that takes new work");
@@ -470,6 +499,7 @@
     const bool Near =
         InTouch || Target.Member.FailureDomain == Context.FailureDomain;
     return Near && Context.Book.usable(Target, Now) &&
+           Context.Book.hasRoom(Target, Now) &&
            admitCold(*Service, Target, false);
   };
   const double Crossing =
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -44,6 +44,8 @@
   void refusePoison() const;
   boost::asio::awaitable<bool> answeredByClaim();
   boost::asio::awaitable<bool> attempt();
+  boost::asio::awaitable<upstream_loan> connect(const routing_target &Target,
+                                                connection_need Need);
   boost::asio::awaitable<void> dispatch(const slot_owner &Owner,
                                         upstream_loan &Connection,
                                         flight_table::flight &Flight);
@@ -82,6 +84,7 @@
   bool MightHaveRun = false; //!< In any attempt so far.
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_break LastBreak = attempt_break::None;
+  bool ArrivalCounted = false;
   unsigned Attempts = 0;
   boost::json::array Tries; //!< What became of each send, for the log.
   std::chrono::steady_clock::time_point Began =
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -12,8 +12,10 @@
 #include "pomeloswitch/retry/request_records.hpp"
 #include "pomeloswitch/retry/retry_budget.hpp"
 #include "pomeloswitch/routing/cold_gate.hpp"
+#include "pomeloswitch/routing/slot_meter.hpp"
 #include "pomeloswitch/routing/target_book.hpp"
 #include "pomeloswitch/routing/target_choice.hpp"
+#include "pomeloswitch/routing/wait_ranks.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -69,6 +71,8 @@
   random_engine Random;
   target_book Book;
   cold_gate ColdGate;
+  wait_ranks Waiting;
+  slot_meter Arrivals;
   retry_budget Retries;
   metric_set Metrics;
   span_sink *Spans = nullptr; //!< Null where nothing is traced.
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -3,29 +3,39 @@
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <algorithm>
+#include <numeric>
+#include <optional>
+#include <set>
 
 namespace pomelo {
 namespace {
 
+//! How far a target's measured speed counts, so that a poor measurement does
+//! not leave it without slots or with all of them.
+constexpr double SlowestFactor = 0.4;
+constexpr double FastestFactor = 2.5;
+
 //! One target that may own slots, and how many it holds.
 struct candidate {
   const target_member *Target;
   bool Receives = true; //!< May be given more.
-  std::uint32_t Held = 0;
+  double Capacity = 1;  //!< Requests that it can run in some time.
+  double Held = 0;      //!< Weight of its slots.
 };
 
 //! The plan of one service in one round.
 class service_plan {
 public:
   service_plan(const cluster_state &State, const lease_table &Leases,
-               const planner_limits &Limits, const service &Service,
-               mono_time Now)
-      : State(State), Leases(Leases), Limits(Limits), Service(Service),
-        Now(Now), Table(State.slotsPart(Service.Name)) {}
+               const load_table &Loads, const planner_limits &Limits,
+               const service &Service, mono_time Now)
+      : State(State), Leases(Leases), Loads(Loads), Limits(Limits),
+        Service(Service), Now(Now), Table(State.slotsPart(Service.Name)) {}
 
   void run(std::vector<wire::command> &Commands) {
     if (!Table)
       return;
+    Weights = Loads.weights(Service.Name, Table->size(), Now);
     collectCandidates();
     countHeld();
     planSlots();
@@ -38,7 +48,8 @@
     for (const auto &[Id, Target] : State.targets())
       if (Target.Service == Service.Name && !Target.Leaving &&
           !State.takenOut(Target) && Leases.targetKeeps(Target, Now))
-        Candidates.push_back({&Target, Leases.targetReceives(Target, Now)});
+        Candidates.push_back({&Target, Leases.targetReceives(Target, Now),
+                              static_cast<double>(Target.Slots)});
     // A cold target bears less than its keys would bring; it waits unless
     // there is no other.
     const auto Warm = [](const candidate &Each) {
@@ -47,6 +58,29 @@
     if (std::any_of(Candidates.begin(), Candidates.end(), Warm))
       for (candidate &Each : Candidates)
         Each.Receives = Warm(Each);
+    fitCapacities();
+  }
+
+  //! Targets of one service differ in speed. One whose speed is not known
+  //! counts as an average one.
+  void fitCapacities() {
+    double Sum = 0;
+    unsigned Known = 0;
+    for (const candidate &Each : Candidates)
+      if (const double Seconds = Loads.secondsOf(Each.Target->TargetId);
+          Seconds > 0) {
+        Sum += Seconds;
+        ++Known;
+      }
+    if (Known == 0)
+      return;
+    const double Mean = Sum / Known;
+    for (candidate &Each : Candidates) {
+      const double Seconds = Loads.secondsOf(Each.Target->TargetId);
+      if (Seconds > 0)
+        Each.Capacity *= std::clamp(Mean / Seconds, SlowestFactor,
+                                    FastestFactor);
+    }
   }
 
   candidate *findCandidate(std::string_view Id) {
@@ -57,19 +91,20 @@
   }
 
   void countHeld() {
-    for (const owned_slot &Slot : *Table) {
+    for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
+      const owned_slot &Slot = (*Table)[Number];
       if (Slot.Phase == slot_phase::Revoking)
         ++Moving;
       else if (Slot.Phase != slot_phase::Unowned)
         if (candidate *Owner = findCandidate(Slot.Owner))
-          ++Owner->Held;
+          Owner->Held += Weights[Number];
     }
   }
 
   //! The candidate to give the next slot to. Neighbouring slots go to the same
   //! one until it has its share, so that few calls cover them.
   candidate *nextReceiver() {
-    if (Receiver && Receiver->Held < shareOf(*Receiver->Target))
+    if (Receiver && Receiver->Held < shareOf(*Receiver))
       return Receiver;
     Receiver = nullptr;
     for (candidate &Each : Candidates)
@@ -79,16 +114,19 @@
   }
 
   static bool fuller(const candidate &Left, const candidate &Right) {
-    return std::uint64_t{Right.Held} * Left.Target->Slots <
-           std::uint64_t{Left.Held} * Right.Target->Slots;
+    return Right.Held * Left.Capacity < Left.Held * Right.Capacity;
   }
 
-  //! The slots that the target should own, rounded up.
-  std::uint64_t shareOf(const target_member &Target) const {
-    std::uint64_t Size = 0;
+  [[nodiscard]] double totalWeight() const {
+    return std::accumulate(Weights.begin(), Weights.end(), 0.0);
+  }
+
+  //! The weight that the target should have.
+  [[nodiscard]] double shareOf(const candidate &Candidate) const {
+    double Size = 0;
     for (const candidate &Each : Candidates)
-      Size += Each.Receives ? Each.Target->Slots : 0;
-    return Size == 0 ? 0 : (Table->size() * Target.Slots + Size - 1) / Size;
+      Size += Each.Receives ? Each.Capacity : 0;
+    return Size == 0 ? 0 : totalWeight() * Candidate.Capacity / Size;
   }
 
   //! Whether the last owner of a revoked slot starts no more work on it. An
@@ -126,7 +164,7 @@
     Grant->set_since_index(Slot.ChangedIndex);
     if (!Owner)
       return;
-    ++Owner->Held;
+    Owner->Held += Weights[Number];
     Grant->set_target_id(Owner->Target->TargetId);
   }
 
@@ -143,26 +181,57 @@
     }
   }
 
+  //! Moves slots from owners above their share, if that brings them closer to
+  //! it without putting the next owner above its own.
   void planBalance() {
     if (Candidates.size() < 2 || Grants.grants_size() > 0 ||
         Revokes.slots_size() > 0)
       return;
-    std::uint32_t Free =
-        Limits.MovesInFlight > Moving ? Limits.MovesInFlight - Moving : 0;
-    for (std::uint32_t Number = 0; Number < Table->size() && Free > 0;
-         ++Number) {
+    const bool ByLoad = Loads.known(Service.Name, Now);
+    const std::uint32_t Most =
+        ByLoad ? Limits.LoadMovesInFlight : Limits.MovesInFlight;
+    const double Average = totalWeight() / static_cast<double>(Table->size());
+    for (std::uint32_t Free = Most > Moving ? Most - Moving : 0; Free > 0;
+         --Free)
+      if (!planMove(Average, ByLoad))
+        return;
+  }
+
+  bool planMove(double Average, bool ByLoad) {
+    candidate *From = nullptr;
+    candidate *To = nullptr;
+    for (candidate &Each : Candidates) {
+      if (!From || fuller(Each, *From))
+        From = &Each;
+      if (Each.Receives && (!To || fuller(*To, Each)))
+        To = &Each;
+    }
+    if (!To || From == To)
+      return false;
+    const double Share = shareOf(*From);
+    const double Allowed = Limits.Tolerance * Average +
+                           (ByLoad ? Limits.LoadTolerance * Share : 0);
+    const double Excess = From->Held - Share;
+    if (Excess < Allowed)
+      return false;
+    const double Room = std::max(Excess, shareOf(*To) - To->Held);
+    std::optional<std::uint32_t> Best;
+    for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const owned_slot &Slot = (*Table)[Number];
-      candidate *Owner = Slot.Phase == slot_phase::Active
-                             ? findCandidate(Slot.Owner)
-                             : nullptr;
-      if (!Owner)
-        continue;
-      if (Owner->Held <= shareOf(*Owner->Target) + Limits.Tolerance - 1)
-        continue;
-      --Owner->Held;
-      --Free;
-      Revokes.add_slots(Number);
+      const bool Movable = Slot.Phase == slot_phase::Active &&
+                           Slot.Owner == From->Target->TargetId &&
+                           !Chosen.contains(Number) &&
+                           Weights[Number] <= std::min(Room, Excess);
+      if (Movable && (!Best || Weights[Number] > Weights[*Best]))
+        Best = Number;
     }
+    if (!Best)
+      return false;
+    From->Held -= Weights[*Best];
+    To->Held += Weights[*Best];
+    Chosen.insert(*Best);
+    Revokes.add_slots(*Best);
+    return true;
   }
 
   void emit(std::vector<wire::command> &Commands) {
@@ -200,12 +269,15 @@
 
   const cluster_state &State;
   const lease_table &Leases;
+  const load_table &Loads;
   const planner_limits &Limits;
   const service &Service;
   mono_time Now;
   std::shared_ptr<const slot_table> Table;
   std::vector<candidate> Candidates;
   candidate *Receiver = nullptr; //!< Was given the latest slot.
+  std::vector<double> Weights; //!< Of each slot.
+  std::set<std::uint32_t> Chosen; //!< Slots that this plan moves.
   std::uint32_t Moving = 0;
   wire::grant_slots Grants;
   wire::revoke_slots Revokes;
@@ -215,11 +287,12 @@
 
 std::vector<wire::command> slot_planner::plan(const cluster_state &State,
                                               const lease_table &Leases,
+                                              const load_table &Loads,
                                               mono_time Now) const {
   std::vector<wire::command> Commands;
   for (const service &Service : State.inventoryPart()->Services)
     if (Service.DividedByKey)
-      service_plan(State, Leases, Limits, Service, Now).run(Commands);
+      service_plan(State, Leases, Loads, Limits, Service, Now).run(Commands);
   return Commands;
 }
 
--- a/src/pomeloswitch/routing/target_book.cpp
+++ b/src/pomeloswitch/routing/target_book.cpp
@@ -20,6 +20,10 @@
 
 double average(double Old, double New) { return Old + Newest * (New - Old); }
 
+void learn(double &Average, double New) {
+  Average = Average == 0 ? New : average(Average, New);
+}
+
 } // namespace
 
 std::string target_book::keyOf(const routing_target &Target) {
@@ -33,8 +37,49 @@
   return Found == Records.end() ? nullptr : &Found->second;
 }
 
-void target_book::sent(const routing_target &Target, time_point) {
-  ++Records[keyOf(Target)].InFlight;
+target_book::record &target_book::recordOf(const routing_target &Target) {
+  record &Record = Records[keyOf(Target)];
+  if (Record.Window == 0) {
+    Record.Load.Slots = std::max<std::uint32_t>(1, Target.Member.Slots);
+    Record.Window = Record.Load.Slots;
+  }
+  return Record;
+}
+
+void target_book::sent(const routing_target &Target, time_point Now) {
+  record &Record = recordOf(Target);
+  ++Record.InFlight;
+  Record.SentAt = Now;
+}
+
+void target_book::unreachable(const routing_target &Target, time_point Now) {
+  record &Record = recordOf(Target);
+  Record.BrokeAt = Now;
+  leave(Record, Limits.LostPause, Now);
+  ++Record.Failures;
+}
+
+//! All entry hosts see the same queue, so their windows shrink and grow
+//! together until the queue is short.
+void target_book::fitWindow(record &Record, bool Room) const {
+  if (Room)
+    Record.Window += Limits.WindowGrowth;
+  else
+    Record.Window *= Limits.WindowCut;
+  const double Largest = 1.5 * Record.Load.Slots + 1;
+  Record.Window = std::clamp(Record.Window, Limits.SmallestWindow, Largest);
+}
+
+bool target_book::hasRoom(const routing_target &Target, time_point Now) const {
+  const record *Record = find(Target);
+  if (!Record || Record->Window == 0 || Record->InFlight == 0) {
+    if (!Record || Record->Window >= 1 || Record->Window == 0)
+      return true;
+    const std::chrono::duration<double> Since = Now - Record->SentAt;
+    return Since.count() >=
+           std::max(UntriedSeconds, Record->UsualSeconds) / Record->Window;
+  }
+  return Record->InFlight + 1 <= Record->Window;
 }
 
 void target_book::leave(record &Record, milliseconds Pause, time_point Now) {
@@ -46,7 +91,7 @@
 
 void target_book::ended(const routing_target &Target, send_end How,
                         std::chrono::nanoseconds Took, time_point Now) {
-  record &Record = Records[keyOf(Target)];
+  record &Record = recordOf(Target);
   if (Record.InFlight > 0)
     --Record.InFlight;
   if (How == send_end::Undecided)
@@ -57,12 +102,14 @@
   switch (How) {
   case send_end::Answered:
     Record.Failures = 0;
-    Record.UsualSeconds = Record.UsualSeconds == 0
-                              ? Seconds.count()
-                              : average(Record.UsualSeconds, Seconds.count());
+    Record.AnsweredAt = Now;
+    learn(Record.UsualSeconds, Seconds.count());
+    if (Record.Load.Waiting == 0)
+      learn(Record.CleanSeconds, Seconds.count());
     return;
   case send_end::Shed:
     Record.LeftUntil = std::max(Record.LeftUntil, Now + Limits.ShedPause);
+    fitWindow(Record, false);
     return;
   case send_end::Lost:
     Record.BrokeAt = Now;
@@ -70,6 +117,10 @@
     ++Record.Failures;
     return;
   case send_end::Silent:
+    fitWindow(Record, false);
+    // A target that has answered others meanwhile is slow, not silent.
+    if (Record.AnsweredAt > Now - Took)
+      return;
     leave(Record, Limits.SilentPause, Now);
     ++Record.Failures;
     return;
@@ -81,8 +132,9 @@
 
 void target_book::told(const routing_target &Target, const told_load &Load,
                        time_point Now) {
-  record &Record = Records[keyOf(Target)];
+  record &Record = recordOf(Target);
   Record.Load = Load;
+  fitWindow(Record, Load.Waiting <= Limits.WaitingPerSlot * Load.Slots);
   Record.ToldOthers =
       std::max(0.0, Load.Running + Load.Waiting - Record.InFlight);
   Record.ToldAt = Now;
@@ -117,9 +169,12 @@
          (1 + FailureWeight * Record->FailureShare);
 }
 
-std::uint32_t target_book::inFlight(const routing_target &Target) const {
-  const record *Record = find(Target);
-  return Record ? Record->InFlight : 0;
+std::map<std::string, double> target_book::speeds() const {
+  std::map<std::string, double> Speeds;
+  for (const auto &[Key, Record] : Records)
+    if (Record.CleanSeconds > 0)
+      Speeds[Key.substr(0, Key.rfind('#'))] = Record.CleanSeconds;
+  return Speeds;
 }
 
 void target_book::retain(const routing_view &View) {
--- a/src/pomeloswitch/routing/target_book.hpp
+++ b/src/pomeloswitch/routing/target_book.hpp
@@ -41,6 +41,12 @@
   std::chrono::milliseconds ColdDoubt{4000};
   //! Time in which what was told of load loses most of its meaning.
   std::chrono::milliseconds LoadFades{300};
+  //! Requests that may wait at a target for each of its slots; more waiting
+  //! narrows the window of every entry host.
+  double WaitingPerSlot = 0.6;
+  double WindowGrowth = 0.3; //!< Requests, by each answer with room left.
+  double WindowCut = 0.8;    //!< Factor, by each answer without.
+  double SmallestWindow = 0.1;
 };
 
 class target_book {
@@ -56,9 +62,16 @@
   void told(const routing_target &Target, const told_load &Load,
             time_point Now);
 
+  //! No connection to the target could be made.
+  void unreachable(const routing_target &Target, time_point Now);
+
   //! Whether requests may go to the target at all; a target that failed is
   //! left for a pause that grows.
   [[nodiscard]] bool usable(const routing_target &Target, time_point Now) const;
+  //! Whether one more request fits into this host's part of the target's room.
+  //! The part is a window on requests in flight; below one, it spaces them.
+  [[nodiscard]] bool hasRoom(const routing_target &Target,
+                             time_point Now) const;
   //! Whether the target may have started anew and be cold.
   [[nodiscard]] bool doubtfullyWarm(const routing_target &Target,
                                     time_point Now) const;
@@ -66,7 +79,8 @@
   //! how slow it is compared with others; lower is better.
   [[nodiscard]] double score(const routing_target &Target,
                              time_point Now) const;
-  [[nodiscard]] std::uint32_t inFlight(const routing_target &Target) const;
+  //! Seconds that answers take, by target id, where nothing waits there.
+  [[nodiscard]] std::map<std::string, double> speeds() const;
 
   //! Forgets targets that \p View does not have.
   void retain(const routing_view &View);
@@ -75,7 +89,11 @@
   struct record {
     std::uint32_t InFlight = 0;
     double UsualSeconds = 0; //!< A moving average; 0 before the first answer.
+    double CleanSeconds = 0; //!< Likewise, of answers that did not wait.
     double FailureShare = 0; //!< Likewise.
+    double Window = 0;       //!< 0 until first used.
+    time_point SentAt{};
+    time_point AnsweredAt{};
     told_load Load;
     double ToldOthers = 0; //!< Of the told load, what others sent.
     time_point ToldAt{};
@@ -86,6 +104,8 @@
 
   static std::string keyOf(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
+  record &recordOf(const routing_target &Target);
+  void fitWindow(record &Record, bool Room) const;
   void leave(record &Record, std::chrono::milliseconds Pause, time_point Now);
 
   book_limits Limits;
--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -44,7 +44,7 @@
     hearTarget(Target.TargetId);
   }
 
-  void plan() { Driven.applyAll(Planner.plan(Driven.State, Leases, Now)); }
+  void plan() { Driven.applyAll(Planner.plan(Driven.State, Leases, Loads, Now)); }
 
   //! Plans until nothing is left to do while everybody follows at once.
   unsigned planAll() {
@@ -78,6 +78,7 @@
   }
 
   mono_time Now = Start;
+  load_table Loads;
   driven_state Driven;
   lease_table Leases{lease_times()};
   slot_planner Planner{planner_limits()};
@@ -209,7 +210,7 @@
   for (unsigned Number = 1; Number <= 5; ++Number)
     join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
   EXPECT_LT(planAll(), 20U);
-  EXPECT_TRUE(Planner.plan(Driven.State, Leases, Now).empty());
+  EXPECT_TRUE(Planner.plan(Driven.State, Leases, Loads, Now).empty());
 }
 
 } // namespace
