--- a/src/pomeloswitch/ownership/order_keeper.cpp
+++ b/src/pomeloswitch/ownership/order_keeper.cpp
@@ -103,6 +103,17 @@
   return Runs;
 }
 
+//! A grant that reaches its target after a release undoes it, so a release
+//! waits for the grants before it.
+bool order_keeper::grantUnderWay(const service &Service,
+                                 const found_run &Found) const {
+  const auto &Slots = Holds.at(Service.Name);
+  for (auto Number = Found.Run.First; Number <= Found.Run.Last; ++Number)
+    if (Slots[Number].InFlight > 0)
+      return true;
+  return false;
+}
+
 bool order_keeper::callDue(const call_record &Call, order_kind Kind,
                            mono_time Now) const {
   if (Call.InFlight)
@@ -138,7 +149,8 @@
     Present[Found.Owner].push_back(Found.Run);
     call_record &Call = Record.Calls[{Service.Name, Found.Run}];
     const bool Granting = Found.Run.Kind == order_kind::Grant;
-    if ((Granting && Record.Suspect) || !callDue(Call, Found.Run.Kind, Now))
+    const bool Held = Granting ? Record.Suspect : grantUnderWay(Service, Found);
+    if (Held || !callDue(Call, Found.Run.Kind, Now))
       continue;
     Call.InFlight = true;
     if (Record.DoneAt == mono_time())
--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -129,6 +129,8 @@
   static void fitHandover(slot_hold &Hold, const owned_slot &Slot);
   [[nodiscard]] std::vector<found_run> runsOf(const cluster_state &State,
                                               const service &Service);
+  [[nodiscard]] bool grantUnderWay(const service &Service,
+                                   const found_run &Found) const;
   [[nodiscard]] bool callDue(const call_record &Call, order_kind Kind,
                              mono_time Now) const;
   void addOrders(const cluster_state &State, const service &Service,
