--- a/src/pomeloswitch/wire/peer_link.cpp
+++ b/src/pomeloswitch/wire/peer_link.cpp
@@ -71,6 +71,9 @@
   Socket.async_read_some(
       boost::asio::buffer(ReadBuffer),
       [Self](error_code Error, std::size_t Count) {
+        // Bytes that were read before the link was closed come too late.
+        if (Self->Closed)
+          return;
         if (Error)
           return Self->close();
         Self->ReceivedBytes += Count;
