Read settings again at SIGHUP; refuse at once where the turn comes too late

It is now a reload; entry hosts meet control hosts that are new in the settings. Cause 2: a request that waits for its key's owner was held for its whole wait even where those before it could not be through by then. It is refused at once with the time to come back.

--- a/apps/pomelo_control.cpp
+++ b/apps/pomelo_control.cpp
@@ -24,6 +24,10 @@
                         .withLog(std::move(Log))
                         .build();
   Host->start();
+  // The group's members are its own state; new settings are only checked.
+  reloadOnSignal(Io, [&Options] {
+    parseControlSettings(readFile(Options.SettingsFile));
+  });
   stopOnSignal(Io, [&Host, &Io] {
     Host->stop();
     Io.stop();
--- a/apps/pomelo_entry.cpp
+++ b/apps/pomelo_entry.cpp
@@ -20,6 +20,9 @@
                         .withSettings(std::move(Settings))
                         .build();
   Host->start();
+  reloadOnSignal(Io, [&Host, &Options] {
+    Host->reload(parseEntrySettings(readFile(Options.SettingsFile)));
+  });
   stopOnSignal(Io, [&Host] { Host->beginStop(); });
   writeReadyFile(Options.ReadyFile, Host->describe());
   Io.run();
--- a/src/pomeloswitch/cli/daemon.hpp
+++ b/src/pomeloswitch/cli/daemon.hpp
@@ -31,6 +31,11 @@
 //! Calls \p OnStop on \p Io at the first SIGTERM or SIGINT.
 void stopOnSignal(boost::asio::io_context &Io, std::function<void()> OnStop);
 
+//! Calls \p OnReload on \p Io at each SIGHUP. What it throws is logged; the
+//! process goes on with the settings that it has.
+void reloadOnSignal(boost::asio::io_context &Io,
+                    std::function<void()> OnReload);
+
 //! Writes \p Description to \p Path so that a reader sees all of it or no
 //! file. Does nothing if \p Path is empty.
 void writeReadyFile(const std::string &Path, std::string_view Description);
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -51,20 +51,22 @@
   Hosts.push_back(std::move(Host));
 }
 
+void control_session::meet(const host_address &Control) {
+  const bool Known =
+      std::any_of(Hosts.begin(), Hosts.end(), [&Control](const auto &Host) {
+        return Host->Address == Control.Address;
+      });
+  if (Known || Control.Address.empty())
+    return;
+  Log.info("Control host {} at {} is met.", Control.Id, Control.Address);
+  addHost(Control.Id, Control.Address);
+  Hosts.back()->Dialer->start();
+}
+
 //! Members that joined the group since the settings were written.
 void control_session::meetMembers(const wire::heartbeat_ack &Ack) {
-  for (const auto &Member : Ack.control_hosts()) {
-    const bool Known =
-        std::any_of(Hosts.begin(), Hosts.end(), [&Member](const auto &Host) {
-          return Host->Address == Member.address();
-        });
-    if (Known || Member.address().empty())
-      continue;
-    Log.info("Control host {} at {} is a member of the group.", Member.id(),
-             Member.address());
-    addHost(Member.id(), Member.address());
-    Hosts.back()->Dialer->start();
-  }
+  for (const auto &Member : Ack.control_hosts())
+    meet({Member.id(), Member.address()});
 }
 
 //! An open link that carries nothing back may have been lost on the way.
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -73,6 +73,8 @@
   //! may then still be committed later.
   void propose(wire::command Command, std::chrono::milliseconds Timeout,
                proposal_table::completion Done);
+  //! A control host that may not be known yet.
+  void meet(const host_address &Control);
   //! Sends a heartbeat soon rather than at the next interval.
   void hurry();
   void announceStopping() { Stopping = true; }
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -241,6 +241,11 @@
   });
 }
 
+void entry_host::reload(const entry_settings &Changed) {
+  for (const host_address &Control : Changed.ControlHosts)
+    Session->meet(Control);
+}
+
 void entry_host::beginStop() {
   if (Stopping)
     return;
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -30,6 +30,10 @@
   //! serves what is open and then lets run() of the control context return.
   void beginStop();
 
+  //! Takes over what can change while the process runs: the control hosts to
+  //! start from.
+  void reload(const entry_settings &Changed);
+
   //! The bound addresses as a JSON object, for tools that start processes.
   [[nodiscard]] std::string describe() const;
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -44,6 +44,9 @@
 //! Percent of the route's aim that a request may wait for a target; later it
 //! would rather come back than be answered past its aim.
 constexpr int WaitShareOfAim = 60;
+//! When a caller is asked to come back that would have waited in vain.
+constexpr milliseconds ShortestReturn{200};
+constexpr milliseconds LongestReturn{1000};
 //! How much slower a target of another failure domain may be before it is left
 //! for a near one: the way there, and the bytes that cross.
 constexpr double CrossingSeconds = 0.01;
@@ -439,9 +442,11 @@
     const bool Ready = Owner.Target &&
                        Context.Book.usable(*Owner.Target, Now) &&
                        Context.Book.hasRoom(*Owner.Target, Now);
-    if (Ready && Authorised && !Place->behind(1) &&
+    if (Ready && Authorised && Place->ahead() == 0 &&
         admitCold(*Service, *Owner.Target, true))
       co_return Owner;
+    if (Owner.Target && Authorised)
+      refuseIfHopeless(*Owner.Target, Place->ahead(), GiveUp);
     const bool Last = Now + OwnerPollInterval >= GiveUp;
     if (Last && !Authorised)
       throw pomelo_error(error_kind::NotAuthoritative, LostTouch);
@@ -456,6 +461,20 @@
   }
 }
 
+//! Tells the caller at once where its turn would come too late, and when to
+//! come back.
+void exchange::refuseIfHopeless(const routing_target &Target, std::size_t Ahead,
+                                steady_clock::time_point GiveUp) const {
+  const auto Expected = Context.Book.expectedWait(Target, Ahead);
+  if (steady_clock::now() + Expected <= GiveUp)
+    return;
+  const auto Half =
+      std::chrono::duration_cast<milliseconds>(Expected / 2);
+  throw pomelo_error(error_kind::Overloaded,
+                     fmt::format("{} requests wait for the key's owner", Ahead),
+                     std::clamp(Half, ShortestReturn, LongestReturn));
+}
+
 //! A cold target bears only few requests from all entry hosts together.
 bool exchange::admitCold(const routing_service &Service,
                          const routing_target &Target, bool Take) {
@@ -477,7 +496,7 @@
                                 Plan.Deadline);
   for (;;) {
     checkCallerWaits();
-    if (!Place.behind(1))
+    if (Place.ahead() == 0)
       if (auto Target = chooseTarget())
         co_return Target;
     if (steady_clock::now() + OwnerPollInterval >= GiveUp)
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -55,6 +55,8 @@
   routing_target_ptr chooseTarget();
   [[nodiscard]] std::chrono::steady_clock::time_point waitLimit() const;
   void checkCallerWaits() const;
+  void refuseIfHopeless(const routing_target &Target, std::size_t Ahead,
+                        std::chrono::steady_clock::time_point GiveUp) const;
   bool admitCold(const routing_service &Service, const routing_target &Target,
                  bool Take);
   void watchCaller();
--- a/src/pomeloswitch/routing/target_book.cpp
+++ b/src/pomeloswitch/routing/target_book.cpp
@@ -152,6 +152,17 @@
          Now < Record->BrokeAt + Limits.ColdDoubt;
 }
 
+std::chrono::duration<double>
+target_book::expectedWait(const routing_target &Target,
+                          std::size_t Ahead) const {
+  const record *Record = find(Target);
+  if (!Record || Record->Window == 0)
+    return {};
+  const double Usual = std::max(UntriedSeconds, Record->UsualSeconds);
+  return std::chrono::duration<double>(static_cast<double>(Ahead) * Usual /
+                                       Record->Window);
+}
+
 double target_book::score(const routing_target &Target, time_point Now) const {
   const double Slots = std::max<std::uint32_t>(1, Target.Member.Slots);
   const record *Record = find(Target);
--- a/src/pomeloswitch/routing/target_book.hpp
+++ b/src/pomeloswitch/routing/target_book.hpp
@@ -75,6 +75,10 @@
   //! Whether the target may have started anew and be cold.
   [[nodiscard]] bool doubtfullyWarm(const routing_target &Target,
                                     time_point Now) const;
+  //! How long a request waits here for room at the target while \p Ahead others
+  //! wait before it, going by what this host may send.
+  [[nodiscard]] std::chrono::duration<double>
+  expectedWait(const routing_target &Target, std::size_t Ahead) const;
   //! How many times its usual work the target seems to have before it, times
   //! how slow it is compared with others; lower is better.
   [[nodiscard]] double score(const routing_target &Target,
--- a/src/pomeloswitch/routing/wait_ranks.cpp
+++ b/src/pomeloswitch/routing/wait_ranks.cpp
@@ -11,12 +11,9 @@
 
 wait_ranks::place::~place() { Queue->erase(Own); }
 
-bool wait_ranks::place::behind(std::size_t Length) const {
-  auto Each = Queue->begin();
-  for (std::size_t Count = 0; Count < Length; ++Count, ++Each)
-    if (Each == Own)
-      return false;
-  return true;
+std::size_t wait_ranks::place::ahead() const {
+  return static_cast<std::size_t>(
+      std::distance(Queue->begin(), Own));
 }
 
 void wait_ranks::tidy() {
--- a/src/pomeloswitch/routing/wait_ranks.hpp
+++ b/src/pomeloswitch/routing/wait_ranks.hpp
@@ -28,8 +28,8 @@
     place(const place &) = delete;
     place &operator=(const place &) = delete;
 
-    //! Whether \p Length or more of those in the queue come before this one.
-    [[nodiscard]] bool behind(std::size_t Length) const;
+    //! How many of those in the queue come before this one.
+    [[nodiscard]] std::size_t ahead() const;
 
   private:
     std::multiset<rank> *Queue;
