--- a/apps/pomelo_control.cpp
+++ b/apps/pomelo_control.cpp
@@ -25,9 +25,8 @@
                         .build();
   Host->start();
   // The group's members are its own state; new settings are only checked.
-  reloadOnSignal(Io, [&Options] {
-    parseControlSettings(readFile(Options.SettingsFile));
-  });
+  reloadOnSignal(
+      Io, [&Options] { parseControlSettings(readFile(Options.SettingsFile)); });
   stopOnSignal(Io, [&Host, &Io] {
     Host->stop();
     Io.stop();
--- a/src/pomeloswitch/admission/account_ledger.cpp
+++ b/src/pomeloswitch/admission/account_ledger.cpp
@@ -74,8 +74,8 @@
 }
 
 bool account_ledger::shared() const {
-  return Rate >= SmallestShare *
-                     static_cast<double>(std::max(Hosts, Holdings.size()));
+  return Rate >=
+         SmallestShare * static_cast<double>(std::max(Hosts, Holdings.size()));
 }
 
 void account_ledger::empty(mono_time Now) {
--- a/src/pomeloswitch/admission/account_ledger.hpp
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -103,7 +103,7 @@
   double Rate = 0;
   double Burst = 0;
   std::size_t Hosts = 1; //!< That may use the account.
-  double Central = 0; //!< Tokens in the central bucket.
+  double Central = 0;    //!< Tokens in the central bucket.
   mono_time FilledAt;
   std::map<host_run, holding> Holdings;
   sums Leased;
--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -82,25 +82,25 @@
 
 void awaitReload(const std::shared_ptr<boost::asio::signal_set> &Signals,
                  const std::function<void()> &OnReload) {
-  Signals->async_wait([Signals, OnReload](boost::system::error_code Error,
-                                          int) {
-    if (Error)
-      return;
-    const part_log Log("daemon");
-    try {
-      OnReload();
-      Log.info("The settings were read again.");
-    } catch (const std::exception &Failure) {
-      Log.error("The settings stay as they were: {}.", Failure.what());
-    }
-    awaitReload(Signals, OnReload);
-  });
+  Signals->async_wait(
+      [Signals, OnReload](boost::system::error_code Error, int) {
+        if (Error)
+          return;
+        const part_log Log("daemon");
+        try {
+          OnReload();
+          Log.info("The settings were read again.");
+        } catch (const std::exception &Failure) {
+          Log.error("The settings stay as they were: {}.", Failure.what());
+        }
+        awaitReload(Signals, OnReload);
+      });
 }
 
 } // namespace
 
 void reloadOnSignal(boost::asio::io_context &Io,
-                    std::function<void()> OnReload) {
+                    const std::function<void()> &OnReload) {
   awaitReload(std::make_shared<boost::asio::signal_set>(Io, SIGHUP), OnReload);
 }
 
--- a/src/pomeloswitch/cli/daemon.hpp
+++ b/src/pomeloswitch/cli/daemon.hpp
@@ -34,7 +34,7 @@
 //! Calls \p OnReload on \p Io at each SIGHUP. What it throws is logged; the
 //! process goes on with the settings that it has.
 void reloadOnSignal(boost::asio::io_context &Io,
-                    std::function<void()> OnReload);
+                    const std::function<void()> &OnReload);
 
 //! Writes \p Description to \p Path so that a reader sees all of it or no
 //! file. Does nothing if \p Path is empty.
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -74,8 +74,8 @@
   return *this;
 }
 
-control_host::builder &control_host::builder::withTargetCaller(
-    std::unique_ptr<target_caller> Value) {
+control_host::builder &
+control_host::builder::withTargetCaller(std::unique_ptr<target_caller> Value) {
   Caller = std::move(Value);
   return *this;
 }
@@ -84,9 +84,8 @@
   if (!Io || !Log)
     throw pomelo_error(error_kind::BadSettings,
                        "a control host needs an I/O context and a log");
-  return std::unique_ptr<control_host>(
-      new control_host(*Io, std::move(Settings), std::move(Log),
-                       std::move(Caller)));
+  return std::unique_ptr<control_host>(new control_host(
+      *Io, std::move(Settings), std::move(Log), std::move(Caller)));
 }
 
 control_host::control_host(boost::asio::io_context &Io,
@@ -379,14 +378,13 @@
     return;
   const order_times Times = orderTimesOf(Settings);
   for (const target_order &Order : Keeper.due(State, Leases, Now))
-    Caller->call(
-        Order,
-        Order.Kind == order_kind::Grant ? Times.CallTimeout
-                                        : Times.ReleaseTimeout,
-        [this, Order, Term = OrderTerm](const order_result &Result) {
-          if (Term == OrderTerm)
-            Keeper.answered(Order, Result, steady_clock::now());
-        });
+    Caller->call(Order,
+                 Order.Kind == order_kind::Grant ? Times.CallTimeout
+                                                 : Times.ReleaseTimeout,
+                 [this, Order, Term = OrderTerm](const order_result &Result) {
+                   if (Term == OrderTerm)
+                     Keeper.answered(Order, Result, steady_clock::now());
+                 });
   Keeper.noteHolds(State, Leases, Now);
 }
 
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -92,7 +92,7 @@
   slot_planner Planner;
   order_keeper Keeper;
   std::unique_ptr<target_caller> Caller; //!< Null where no target is called.
-  std::uint64_t OrderTerm = 0; //!< Tells calls of an earlier term.
+  std::uint64_t OrderTerm = 0;           //!< Tells calls of an earlier term.
   std::map<std::uint64_t, apply_result> Results;
   std::map<std::shared_ptr<peer_link>, std::unique_ptr<session>> Sessions;
   std::unique_ptr<peer_listener> Listener;
--- a/src/pomeloswitch/entry/announce_api.cpp
+++ b/src/pomeloswitch/entry/announce_api.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <vector>
 
 namespace pomelo {
 namespace {
@@ -57,15 +58,15 @@
     throw pomelo_error(error_kind::NotFound,
                        "targets announce themselves with POST /v1/announce");
   const wire::target_report Report = parse(Request);
-  auto Wait = std::make_shared<waiting>(Io);
-  Wait->Timer.expires_after(RecordTimeout);
-  const auto Place = Waiting.emplace(reportId(Report.target()), Wait);
-  Wait->Sequence = Session.report(Report);
+  asio::steady_timer Timer(Io, RecordTimeout);
+  const auto Place =
+      Waits.add(reportId(Report.target()), Session.report(Report),
+                [&Timer] { Timer.cancel(); });
   boost::system::error_code Ignored;
-  co_await Wait->Timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, Ignored));
-  Waiting.erase(Place);
-  if (!Wait->Recorded)
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  const bool Ready = Place->Ready;
+  Waits.remove(Place);
+  if (!Ready)
     throw pomelo_error(error_kind::NoQuorum,
                        "the control group did not record the announcement");
   co_return makeJsonResponse(grantsOf(Report), Request.version());
@@ -136,15 +137,10 @@
 }
 
 void announce_api::onAck(const wire::heartbeat_ack &Ack) {
-  for (const std::string &Id : Ack.targets()) {
-    const auto [First, Last] = Waiting.equal_range(Id);
-    for (auto Entry = First; Entry != Last; ++Entry) {
-      if (Ack.sequence() < Entry->second->Sequence)
-        continue;
-      Entry->second->Recorded = true;
-      Entry->second->Timer.cancel();
-    }
-  }
+  const std::vector<std::string> Ids(Ack.targets().begin(),
+                                     Ack.targets().end());
+  Waits.recorded(Ids, Ack.sequence(), Ack.commit_index());
+  Waits.applied(Session.state().index());
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -39,8 +39,8 @@
   return *this;
 }
 
-entry_host::builder &entry_host::builder::withDialect(
-    std::unique_ptr<const target_dialect> Value) {
+entry_host::builder &
+entry_host::builder::withDialect(std::unique_ptr<const target_dialect> Value) {
   Dialect = std::move(Value);
   return *this;
 }
@@ -54,8 +54,8 @@
   if (!Io)
     throw pomelo_error(error_kind::BadSettings,
                        "an entry host needs an I/O context");
-  return std::unique_ptr<entry_host>(new entry_host(*Io, std::move(Settings), std::move(Dialect),
-                     std::move(ReadinessPath)));
+  return std::unique_ptr<entry_host>(new entry_host(
+      *Io, std::move(Settings), std::move(Dialect), std::move(ReadinessPath)));
 }
 
 entry_host::entry_host(asio::io_context &Io, entry_settings GivenSettings,
@@ -140,6 +140,7 @@
   const auto View = makeRoutingView(State, Threads.size());
   for (const auto &Thread : Threads)
     Thread->adopt(View);
+  Announcements->onState(State);
 }
 
 adopted_state entry_host::adopted() const {
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -69,11 +69,11 @@
 std::string describeExcess(const routing_view &View, std::string_view Account) {
   const client_account *Known =
       View.Inventory ? View.Inventory->findAccount(Account) : nullptr;
-  return Known ? fmt::format("the client account {} is above its rate of {}/s "
-                             "and its burst of {}",
-                             Account, Known->RatePerSecond, Known->Burst)
-               : fmt::format("the client account {} is above its rate",
-                             Account);
+  return Known
+             ? fmt::format("the client account {} is above its rate of {}/s "
+                           "and its burst of {}",
+                           Account, Known->RatePerSecond, Known->Burst)
+             : fmt::format("the client account {} is above its rate", Account);
 }
 
 } // namespace
--- a/src/pomeloswitch/http/answer_relay.cpp
+++ b/src/pomeloswitch/http/answer_relay.cpp
@@ -30,8 +30,8 @@
                            upstream_connection &Connection,
                            response_stream_parser &Answer,
                            const target_dialect &Dialect)
-    : Caller(Caller), Connection(Connection), Answer(Answer),
-      Dialect(Dialect) {}
+    : Caller(Caller), Connection(Connection), Answer(Answer), Dialect(Dialect) {
+}
 
 void answer_relay::keepCopy() {
   Copy.emplace();
@@ -77,7 +77,8 @@
   error_code Error;
   co_await http::async_read_some(Connection.Stream, Connection.Buffer, Answer,
                                  redirect(Error));
-  const bool EndsAnswer = Answer.is_done() && Error == http::error::end_of_stream;
+  const bool EndsAnswer =
+      Answer.is_done() && Error == http::error::end_of_stream;
   if (Error && Error != http::error::need_buffer && !EndsAnswer)
     throw boost::system::system_error(Error);
   co_return std::span(Chunk).first(Chunk.size() - Answer.get().body().size);
--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -131,7 +131,8 @@
       continue;
     Socket.set_option(tcp::no_delay(true), Error);
     if (Connections.size() >= Limits.Connections) {
-      asio::co_spawn(Context.Io, refuseConnection(std::move(Socket), Context.Dialect),
+      asio::co_spawn(Context.Io,
+                     refuseConnection(std::move(Socket), Context.Dialect),
                      asio::detached);
       continue;
     }
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -161,9 +161,12 @@
     return;
   const auto Now = steady_clock::now();
   boost::json::object Fields{
-      {"request", Plan.RequestId},     {"route", Plan.Route.Name},
-      {"service", Plan.Service},       {"account", Plan.Account},
-      {"config", View->ConfigNumber},  {"index", View->Index},
+      {"request", Plan.RequestId},
+      {"route", Plan.Route.Name},
+      {"service", Plan.Service},
+      {"account", Plan.Account},
+      {"config", View->ConfigNumber},
+      {"index", View->Index},
       {"lease_left_ms", millisecondsOf(Context.Authority.validUntil() - Now)},
       {"took_ms", millisecondsOf(Now - Began)},
       {"attempts", Tries}};
@@ -377,10 +380,11 @@
   const auto Now = steady_clock::now();
   const send_end End = sendEndOf(Dispatch, CallerGone);
   Context.Book.ended(Target, End, Now - SentAt, Now);
-  Tries.push_back(boost::json::object{{"target", Target.Member.TargetId},
-                                      {"sent_ms", millisecondsOf(SentAt - Began)},
-                                      {"took_ms", millisecondsOf(Now - SentAt)},
-                                      {"end", nameOf(End)}});
+  Tries.push_back(
+      boost::json::object{{"target", Target.Member.TargetId},
+                          {"sent_ms", millisecondsOf(SentAt - Began)},
+                          {"took_ms", millisecondsOf(Now - SentAt)},
+                          {"end", nameOf(End)}});
 }
 
 //! Bridges a change of leader. The account's rate is leased too, so that
@@ -468,8 +472,7 @@
   const auto Expected = Context.Book.expectedWait(Target, Ahead);
   if (steady_clock::now() + Expected <= GiveUp)
     return;
-  const auto Half =
-      std::chrono::duration_cast<milliseconds>(Expected / 2);
+  const auto Half = std::chrono::duration_cast<milliseconds>(Expected / 2);
   throw pomelo_error(error_kind::Overloaded,
                      fmt::format("{} requests wait for the key's owner", Ahead),
                      std::clamp(Half, ShortestReturn, LongestReturn));
@@ -522,8 +525,8 @@
            admitCold(*Service, Target, false);
   };
   const double Crossing =
-      CrossingSeconds + static_cast<double>(Body.length().value_or(0)) *
-                            CrossingSecondsPerByte;
+      CrossingSeconds +
+      static_cast<double>(Body.length().value_or(0)) * CrossingSecondsPerByte;
   const auto Load = [&](const routing_target &Target) {
     const bool Near = Target.Member.FailureDomain == Context.FailureDomain;
     return Context.Book.score(Target, Now) + (Near ? 0 : Crossing);
@@ -605,8 +608,7 @@
 }
 
 bool exchange::mayTryAgain(error_kind Kind) {
-  if (Attempts >= Plan.Route.MaxTargets ||
-      steady_clock::now() >= Plan.Deadline)
+  if (Attempts >= Plan.Route.MaxTargets || steady_clock::now() >= Plan.Deadline)
     return false;
   if (Body.consumed() || LostConnections >= MaxLostConnections)
     return false;
@@ -644,8 +646,7 @@
 }
 
 asio::awaitable<void> exchange::writeWhole(text_response Response) {
-  CallerKeepAlive =
-      CallerKeepAlive && Request.is_done() && !Context.Stopping;
+  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
   if (Request.get().method() != http::verb::head) {
--- a/src/pomeloswitch/http/target_dialect.hpp
+++ b/src/pomeloswitch/http/target_dialect.hpp
@@ -1,7 +1,7 @@
 //! How requests and their answers are written to targets and callers.
 //!
-//! The decisions about a request do not depend on it; a deployment whose targets
-//! speak another protocol brings a dialect of its own.
+//! The decisions about a request do not depend on it; a deployment whose
+//! targets speak another protocol brings a dialect of its own.
 #ifndef POMELOSWITCH_HTTP_TARGET_DIALECT_HPP
 #define POMELOSWITCH_HTTP_TARGET_DIALECT_HPP
 
@@ -62,9 +62,8 @@
                   const dispatch_facts &Facts) const override;
   [[nodiscard]] response_header
   headerForCaller(const response_header &FromTarget) const override;
-  [[nodiscard]] answer_facts
-  factsOf(const response_header &FromTarget,
-          std::string_view RequestId) const override;
+  [[nodiscard]] answer_facts factsOf(const response_header &FromTarget,
+                                     std::string_view RequestId) const override;
   [[nodiscard]] bool endOfConnectionEndsAnswer() const override {
     return false;
   }
--- a/src/pomeloswitch/membership/lease_table.hpp
+++ b/src/pomeloswitch/membership/lease_table.hpp
@@ -58,8 +58,8 @@
   mono_time HeldUntil{};
   std::uint64_t TakenIndex = 0;   //!< As in target_status.
   std::uint64_t SettledIndex = 0; //!< As in target_status.
-  bool Keeps = true;    //!< It is to keep the slots that it has.
-  bool Answers = true;  //!< It may be given more.
+  bool Keeps = true;              //!< It is to keep the slots that it has.
+  bool Answers = true;            //!< It may be given more.
 };
 
 struct host_status {
--- a/src/pomeloswitch/observe/log.cpp
+++ b/src/pomeloswitch/observe/log.cpp
@@ -34,8 +34,8 @@
     const std::string Members =
         !Message.empty() && Message.front() == MembersMark
             ? Message.substr(1)
-            : fmt::format("\"message\":{}", boost::json::serialize(
-                                                boost::json::string(Message)));
+            : fmt::format("\"message\":{}",
+                          boost::json::serialize(boost::json::string(Message)));
     fmt::format_to(std::back_inserter(Output),
                    "{{\"time_ms\":{},\"level\":\"{}\",\"part\":\"{}\",{}}}\n",
                    Event->getTimeStamp() / 1000, Event->getLevel()->toString(),
--- a/src/pomeloswitch/ownership/load_table.hpp
+++ b/src/pomeloswitch/ownership/load_table.hpp
@@ -24,9 +24,8 @@
 
   //! Requests a second for each slot of the service, from all entry hosts; all
   //! equal where nothing is known. Every slot has some weight.
-  [[nodiscard]] std::vector<double> weights(std::string_view Service,
-                                            std::size_t SlotCount,
-                                            mono_time Now) const;
+  [[nodiscard]] std::vector<double>
+  weights(std::string_view Service, std::size_t SlotCount, mono_time Now) const;
   //! Whether entry hosts have told loads of the service.
   [[nodiscard]] bool known(std::string_view Service, mono_time Now) const;
   //! Seconds that a request takes at the target; 0 where that is not known.
--- a/src/pomeloswitch/ownership/order_keeper.cpp
+++ b/src/pomeloswitch/ownership/order_keeper.cpp
@@ -136,9 +136,8 @@
   return Orders;
 }
 
-void order_keeper::addOrders(const cluster_state &State,
-                             const service &Service, mono_time Now,
-                             std::vector<target_order> &Orders) {
+void order_keeper::addOrders(const cluster_state &State, const service &Service,
+                             mono_time Now, std::vector<target_order> &Orders) {
   std::map<std::string, std::vector<run>> Present;
   const auto Runs = runsOf(State, Service);
   const auto SlotCount =
@@ -181,11 +180,10 @@
     // A target that is heard after a failed call may be called again.
     if (Record.Failures > 0 && Leases.targetHeardAt(Id) > Record.FailedAt)
       Record.Failures = 0;
-    const bool Granted =
-        std::any_of(Record.Calls.begin(), Record.Calls.end(),
-                    [](const auto &Call) {
-                      return Call.first.second.Kind == order_kind::Grant;
-                    });
+    const bool Granted = std::any_of(
+        Record.Calls.begin(), Record.Calls.end(), [](const auto &Call) {
+          return Call.first.second.Kind == order_kind::Grant;
+        });
     if (!Granted)
       Record.Suspect = false;
   }
@@ -264,8 +262,7 @@
       progress &Progress = All[Owner->TargetId];
       const mono_time Until =
           Known.InFlight > 0
-              ? std::max(Known.LateUntil,
-                         surelyEnded(Now + Times.CallTimeout))
+              ? std::max(Known.LateUntil, surelyEnded(Now + Times.CallTimeout))
               : std::max(Known.LateUntil, Known.AnsweredUntil);
       Progress.Hold.HeldUntil = std::max(Progress.Hold.HeldUntil, Until);
       Progress.HasSlots |= held(Slot);
--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -28,22 +28,22 @@
   std::string Address;
   std::string Service;
   std::uint32_t FirstSlot = 0;
-  std::uint32_t LastSlot = 0; //!< Inclusive.
+  std::uint32_t LastSlot = 0;  //!< Inclusive.
   std::uint32_t SlotCount = 0; //!< Of the service.
   std::uint32_t KeySpace = 0;  //!< Of the service.
   std::uint64_t Token = 0;
-  milliseconds Hold{0};  //!< Of a grant.
-  std::string Handover;  //!< What the last owner passed on; may be empty.
+  milliseconds Hold{0}; //!< Of a grant.
+  std::string Handover; //!< What the last owner passed on; may be empty.
 };
 
 enum class order_outcome {
   Done,
-  NotDone,  //!< It was surely not carried out and will not be.
-  Refused,  //!< The target has seen a higher token on one of the keys.
-  NoAnswer, //!< It may be carried out yet.
-  Broken,   //!< Likewise, and the target's process may be another one now.
+  NotDone,     //!< It was surely not carried out and will not be.
+  Refused,     //!< The target has seen a higher token on one of the keys.
+  NoAnswer,    //!< It may be carried out yet.
+  Broken,      //!< Likewise, and the target's process may be another one now.
   Unreachable, //!< Not carried out, and its process may be another one now.
-  Gone,     //!< Another process has its address, so its own has ended.
+  Gone,        //!< Another process has its address, so its own has ended.
 };
 
 struct order_result {
@@ -88,10 +88,10 @@
 private:
   //! What is known of one slot.
   struct slot_hold {
-    mono_time AnsweredUntil{}; //!< By grants that were answered.
-    mono_time LateUntil{};     //!< By grants that may be carried out late.
-    unsigned InFlight = 0;     //!< Grants on their way.
-    std::uint64_t Confirmed = 0; //!< Token of the latest grant answered.
+    mono_time AnsweredUntil{};     //!< By grants that were answered.
+    mono_time LateUntil{};         //!< By grants that may be carried out late.
+    unsigned InFlight = 0;         //!< Grants on their way.
+    std::uint64_t Confirmed = 0;   //!< Token of the latest grant answered.
     std::string Handover;          //!< From the last release.
     std::uint64_t HandoverFor = 0; //!< Token of the grant that passes it on.
   };
@@ -110,9 +110,9 @@
   };
   struct target_record {
     std::uint64_t Incarnation = 0;
-    bool Suspect = false; //!< Its process may have been started anew.
-    mono_time FailedAt{}; //!< Of the latest call, if that failed.
-    mono_time DoneAt{};   //!< Of the latest call that was done, or the first.
+    bool Suspect = false;  //!< Its process may have been started anew.
+    mono_time FailedAt{};  //!< Of the latest call, if that failed.
+    mono_time DoneAt{};    //!< Of the latest call that was done, or the first.
     unsigned Failures = 0; //!< In a row.
     std::map<std::pair<std::string, run>, call_record> Calls;
   };
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -78,8 +78,8 @@
     for (candidate &Each : Candidates) {
       const double Seconds = Loads.secondsOf(Each.Target->TargetId);
       if (Seconds > 0)
-        Each.Capacity *= std::clamp(Mean / Seconds, SlowestFactor,
-                                    FastestFactor);
+        Each.Capacity *=
+            std::clamp(Mean / Seconds, SlowestFactor, FastestFactor);
     }
   }
 
@@ -275,8 +275,8 @@
   mono_time Now;
   std::shared_ptr<const slot_table> Table;
   std::vector<candidate> Candidates;
-  candidate *Receiver = nullptr; //!< Was given the latest slot.
-  std::vector<double> Weights; //!< Of each slot.
+  candidate *Receiver = nullptr;  //!< Was given the latest slot.
+  std::vector<double> Weights;    //!< Of each slot.
   std::set<std::uint32_t> Chosen; //!< Slots that this plan moves.
   std::uint32_t Moving = 0;
   wire::grant_slots Grants;
--- a/src/pomeloswitch/retry/retry_budget.cpp
+++ b/src/pomeloswitch/retry/retry_budget.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 double retry_budget::capOf(std::size_t EntryHosts) const {
-  return std::max(1.0, SafePart * Limits.Spare /
-                           static_cast<double>(std::max<std::size_t>(
-                               1, EntryHosts)));
+  return std::max(
+      1.0, SafePart * Limits.Spare /
+               static_cast<double>(std::max<std::size_t>(1, EntryHosts)));
 }
 
 double &retry_budget::tokensOf(std::string_view Service,
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -17,9 +17,9 @@
   const auto Hosts = std::max<std::size_t>(1, State.entryHosts().size());
   const auto Parts = Hosts * std::max<std::size_t>(1, Threads);
   const service *Service = State.inventoryPart()->findService(Member.Service);
-  const std::uint32_t Connections =
-      Member.Connections == 0 && Service ? Service->Connections
-                                         : Member.Connections;
+  const std::uint32_t Connections = Member.Connections == 0 && Service
+                                        ? Service->Connections
+                                        : Member.Connections;
   Target->ConnectionShare = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(Connections / Parts));
   return Target;
@@ -54,12 +54,9 @@
   View->TimeMs = State.timeMs();
   View->EntryHosts = std::max<std::size_t>(1, State.entryHosts().size());
   for (const service &Service : View->Inventory->Services)
-    View->Services[Service.Name] = {Service.Name,
-                                    State.slotsPart(Service.Name),
-                                    {},
-                                    Service.KeySpace,
-                                    Service.Key,
-                                    Service.ColdRatePerSecond};
+    View->Services[Service.Name] = {Service.Name, State.slotsPart(Service.Name),
+                                    {},           Service.KeySpace,
+                                    Service.Key,  Service.ColdRatePerSecond};
   for (const auto &[Id, Member] : State.targets()) {
     auto Target = makeTarget(State, Member, Threads);
     const auto Service = View->Services.find(Member.Service);
--- a/src/pomeloswitch/routing/routing_view.hpp
+++ b/src/pomeloswitch/routing/routing_view.hpp
@@ -41,7 +41,7 @@
   std::shared_ptr<const rules> Rules;
   std::shared_ptr<const key_map> Keys;
   std::shared_ptr<const crash_table> Crashes;
-  std::uint64_t TimeMs = 0; //!< Unix time of the latest command, ms.
+  std::uint64_t TimeMs = 0;   //!< Unix time of the latest command, ms.
   std::size_t EntryHosts = 1; //!< That share what is limited in total.
   std::map<std::string, routing_service, std::less<>> Services;
   std::map<std::string, routing_target_ptr, std::less<>> Targets;
--- a/src/pomeloswitch/routing/target_book.cpp
+++ b/src/pomeloswitch/routing/target_book.cpp
@@ -48,6 +48,8 @@
 
 void target_book::sent(const routing_target &Target, time_point Now) {
   record &Record = recordOf(Target);
+  if (Record.InFlight == 0)
+    Record.QuietSince = Now;
   ++Record.InFlight;
   Record.SentAt = Now;
 }
@@ -70,8 +72,21 @@
   Record.Window = std::clamp(Record.Window, Limits.SmallestWindow, Largest);
 }
 
+//! A slow target, one behind a silent link and one that stands still look the
+//! same at first: nothing comes back.
+bool target_book::doubted(const record &Record, time_point Now) const {
+  if (Record.InFlight == 0)
+    return false;
+  const std::chrono::duration<double> Quiet = Now - Record.QuietSince;
+  const std::chrono::duration<double> Least = Limits.DoubtAfter;
+  return Quiet.count() >
+         Least.count() + Limits.DoubtUsualTimes * Record.UsualSeconds;
+}
+
 bool target_book::hasRoom(const routing_target &Target, time_point Now) const {
   const record *Record = find(Target);
+  if (Record && doubted(*Record, Now))
+    return false;
   if (!Record || Record->Window == 0 || Record->InFlight == 0) {
     if (!Record || Record->Window >= 1 || Record->Window == 0)
       return true;
@@ -103,11 +118,13 @@
   case send_end::Answered:
     Record.Failures = 0;
     Record.AnsweredAt = Now;
+    Record.QuietSince = Now;
     learn(Record.UsualSeconds, Seconds.count());
     if (Record.Load.Waiting == 0)
       learn(Record.CleanSeconds, Seconds.count());
     return;
   case send_end::Shed:
+    Record.QuietSince = Now;
     Record.LeftUntil = std::max(Record.LeftUntil, Now + Limits.ShedPause);
     fitWindow(Record, false);
     return;
@@ -176,8 +193,7 @@
   const double Usual =
       Record->UsualSeconds == 0 ? UntriedSeconds : Record->UsualSeconds;
   const double Rounds = std::max(1.0, (Before + 1) / Slots) + 0.1 * Before;
-  return Usual * Slowdown * Rounds *
-         (1 + FailureWeight * Record->FailureShare);
+  return Usual * Slowdown * Rounds * (1 + FailureWeight * Record->FailureShare);
 }
 
 std::map<std::string, double> target_book::speeds() const {
--- a/src/pomeloswitch/routing/target_book.hpp
+++ b/src/pomeloswitch/routing/target_book.hpp
@@ -25,11 +25,11 @@
 //! How a request that was sent to a target ended.
 enum class send_end {
   Answered,
-  Shed,        //!< The target had no room for it.
-  Failed,      //!< It answered with a failure of its own or nonsense.
-  Lost,        //!< The connection broke off or could not be made.
-  Silent,      //!< No answer came in time.
-  Undecided,   //!< It says nothing about the target.
+  Shed,      //!< The target had no room for it.
+  Failed,    //!< It answered with a failure of its own or nonsense.
+  Lost,      //!< The connection broke off or could not be made.
+  Silent,    //!< No answer came in time.
+  Undecided, //!< It says nothing about the target.
 };
 
 struct book_limits {
@@ -39,6 +39,10 @@
   std::chrono::milliseconds LongestPause{6000};
   //! A target that broke off may be a new process, cold for so long.
   std::chrono::milliseconds ColdDoubt{4000};
+  //! A target that has answered nothing for so long, while requests are with
+  //! it, beyond a few times its usual time, is doubted.
+  std::chrono::milliseconds DoubtAfter{250};
+  double DoubtUsualTimes = 2.5;
   //! Time in which what was told of load loses most of its meaning.
   std::chrono::milliseconds LoadFades{300};
   //! Requests that may wait at a target for each of its slots; more waiting
@@ -98,6 +102,7 @@
     double Window = 0;       //!< 0 until first used.
     time_point SentAt{};
     time_point AnsweredAt{};
+    time_point QuietSince{}; //!< Requests are with it and nothing came back.
     told_load Load;
     double ToldOthers = 0; //!< Of the told load, what others sent.
     time_point ToldAt{};
@@ -108,6 +113,7 @@
 
   static std::string keyOf(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
+  [[nodiscard]] bool doubted(const record &Record, time_point Now) const;
   record &recordOf(const routing_target &Target);
   void fitWindow(record &Record, bool Room) const;
   void leave(record &Record, std::chrono::milliseconds Pause, time_point Now);
--- a/src/pomeloswitch/routing/target_choice.cpp
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -14,9 +14,8 @@
 slot_owner findOwner(const routing_view &View, const routing_service &Service,
                      std::string_view Key) {
   slot_owner Owner;
-  Owner.Slot =
-      slotOfKey(Key, static_cast<std::uint32_t>(Service.Slots->size()),
-                Service.KeySpace);
+  Owner.Slot = slotOfKey(Key, static_cast<std::uint32_t>(Service.Slots->size()),
+                         Service.KeySpace);
   const owned_slot &Slot = (*Service.Slots)[Owner.Slot];
   Owner.Token = Slot.Token;
   if (Slot.Phase != slot_phase::Active)
--- a/src/pomeloswitch/routing/wait_ranks.cpp
+++ b/src/pomeloswitch/routing/wait_ranks.cpp
@@ -12,8 +12,7 @@
 wait_ranks::place::~place() { Queue->erase(Own); }
 
 std::size_t wait_ranks::place::ahead() const {
-  return static_cast<std::size_t>(
-      std::distance(Queue->begin(), Own));
+  return static_cast<std::size_t>(std::distance(Queue->begin(), Own));
 }
 
 void wait_ranks::tidy() {
--- a/src/pomeloswitch/settings/entry_settings.hpp
+++ b/src/pomeloswitch/settings/entry_settings.hpp
@@ -20,10 +20,10 @@
 struct entry_settings {
   std::string HostId;
   std::string FailureDomain;
-  std::string CallerAddress;   //!< IP:port for callers' HTTP.
+  std::string CallerAddress; //!< IP:port for callers' HTTP.
   //! IP:port for targets' announcements; empty if they make none here.
   std::string AnnounceAddress;
-  std::string OpsAddress;      //!< IP:port for health and metrics.
+  std::string OpsAddress; //!< IP:port for health and metrics.
   std::vector<host_address> ControlHosts;
   std::string ClusterSecret;
   unsigned TrafficThreads = 1;
@@ -35,7 +35,7 @@
   std::uint32_t StopNoticeMs = 500;
   retry_limits Retries;
   log_settings Log;
-  std::string Adapter; //!< The member "adapter" as JSON, or empty.
+  std::string Adapter;   //!< The member "adapter" as JSON, or empty.
   std::string TraceFile; //!< Spans are appended here; empty for none.
 };
 
--- a/src/pomeloswitch/settings/inventory.cpp
+++ b/src/pomeloswitch/settings/inventory.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 const std::string &schema() {
-  static const std::string Schema = fmt::format(R"json({{
+  static const std::string Schema =
+      fmt::format(R"json({{
   "definitions": {{ {} }},
   "type": "object", "additionalProperties": false,
   "required": ["failure_domains", "services", "client_accounts"],
@@ -65,8 +66,7 @@
     }}
   }}
 }})json",
-                                                CommonDefinitions,
-                                                KeySourceSchema);
+                  CommonDefinitions, KeySourceSchema);
   return Schema;
 }
 
--- a/src/pomeloswitch/settings/rules.cpp
+++ b/src/pomeloswitch/settings/rules.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 const std::string &schema() {
-  static const std::string Schema = fmt::format(R"json({{
+  static const std::string Schema =
+      fmt::format(R"json({{
   "definitions": {{ {} }},
   "type": "object", "additionalProperties": false,
   "required": ["routes"],
@@ -75,8 +76,7 @@
     }}
   }}
 }})json",
-                                                CommonDefinitions,
-                                                KeySourceSchema);
+                  CommonDefinitions, KeySourceSchema);
   return Schema;
 }
 
@@ -209,9 +209,8 @@
         refuseDocument(kind(), fmt::format("routes.{}.key", Route.Name),
                        "the service is not divided by key");
       if (Service->DividedByKey && Route.Key.none() && Service->Key.none())
-        refuseDocument(
-            kind(), fmt::format("routes.{}.key", Route.Name),
-            "the service is divided by key and needs a key source");
+        refuseDocument(kind(), fmt::format("routes.{}.key", Route.Name),
+                       "the service is divided by key and needs a key source");
     }
 }
 
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -301,8 +301,9 @@
 }
 
 //! All grants of one command carry one token, so that neighbouring slots of an
-//! owner can be handed to it in one call. A grant counts only for the slot as its planner saw it: what was proved safe
-//! for one revocation proves nothing for a later one.
+//! owner can be handed to it in one call. A grant counts only for the slot as
+//! its planner saw it: what was proved safe for one revocation proves nothing
+//! for a later one.
 void cluster_state::grantSlots(const wire::grant_slots &Grants) {
   auto &Table = mutableSlots(Grants.service());
   const std::uint64_t Token = NextToken++;
--- a/src/pomeloswitch/state/config_changes.cpp
+++ b/src/pomeloswitch/state/config_changes.cpp
@@ -79,9 +79,9 @@
       refuse(error_kind::InvalidChange,
              fmt::format("keys: the inventory has no client account \"{}\"",
                          Record.account()));
-    const auto [Place, Fresh] = Keys->emplace(
-        Record.key_id(),
-        account_key{Record.account(), Record.key_hash(), false});
+    const auto [Place, Fresh] =
+        Keys->emplace(Record.key_id(),
+                      account_key{Record.account(), Record.key_hash(), false});
     if (!Fresh)
       refuse(error_kind::InvalidChange,
              fmt::format("keys: the accounts \"{}\" and \"{}\" share a key",
--- a/src/pomeloswitch/state/key_slot.cpp
+++ b/src/pomeloswitch/state/key_slot.cpp
@@ -29,8 +29,8 @@
 std::uint32_t slotOfKey(std::string_view Key, std::uint32_t SlotCount,
                         std::uint32_t KeySpace) {
   if (KeySpace > 0)
-    return static_cast<std::uint32_t>(
-        std::uint64_t{parseKey(Key, KeySpace)} * SlotCount / KeySpace);
+    return static_cast<std::uint32_t>(std::uint64_t{parseKey(Key, KeySpace)} *
+                                      SlotCount / KeySpace);
   const std::uint64_t High = stableHash(Key) >> 32;
   return static_cast<std::uint32_t>((High * SlotCount) >> 32);
 }
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -173,9 +173,8 @@
                            std::chrono::milliseconds(300)))
         << Id;
   }
-  const auto Answer =
-      call(Deployment->callerAddresses().front(),
-           {"GET", "/public/after-hup", {}, {}, seconds(5)});
+  const auto Answer = call(Deployment->callerAddresses().front(),
+                           {"GET", "/public/after-hup", {}, {}, seconds(5)});
   EXPECT_EQ(Answer.Status, 200) << Answer.Body << Answer.Failure;
 }
 
--- a/tests/ownership/order_keeper_test.cpp
+++ b/tests/ownership/order_keeper_test.cpp
@@ -170,12 +170,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     each_outcome, unanswered_grant,
-    testing::Values(
-        unanswered_case{"done", order_outcome::Done, true},
-        unanswered_case{"no_answer", order_outcome::NoAnswer, true},
-        unanswered_case{"broken", order_outcome::Broken, true},
-        unanswered_case{"unreachable", order_outcome::Unreachable, false},
-        unanswered_case{"not_done", order_outcome::NotDone, false}),
+    testing::Values(unanswered_case{"done", order_outcome::Done, true},
+                    unanswered_case{"no_answer", order_outcome::NoAnswer, true},
+                    unanswered_case{"broken", order_outcome::Broken, true},
+                    unanswered_case{"unreachable", order_outcome::Unreachable,
+                                    false},
+                    unanswered_case{"not_done", order_outcome::NotDone, false}),
     [](const auto &Info) { return Info.param.Name; });
 
 TEST_F(order_keeping, takes_no_refused_connection_for_the_end_of_a_hold) {
--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -44,7 +44,9 @@
     hearTarget(Target.TargetId);
   }
 
-  void plan() { Driven.applyAll(Planner.plan(Driven.State, Leases, Loads, Now)); }
+  void plan() {
+    Driven.applyAll(Planner.plan(Driven.State, Leases, Loads, Now));
+  }
 
   //! Plans until nothing is left to do while everybody follows at once.
   unsigned planAll() {
--- /dev/null
+++ b/tests/platform/platform_dialect_test.cpp
@@ -0,0 +1,140 @@
+#include "platform/platform_dialect.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelo::platform {
+namespace {
+
+namespace http = boost::beast::http;
+
+request_header fromCaller() {
+  request_header Header;
+  Header.method(http::verb::get);
+  Header.target("/a/1?x=2");
+  Header.set(http::field::host, "h.example");
+  Header.set(http::field::authorization, "Bearer secret");
+  Header.set("X-Request-Id", "id-1");
+  Header.set("X-Deadline-Milliseconds", "1500");
+  Header.set("X-Tenant", "somebody-else");
+  Header.set("X-Shard-Key", "77");
+  return Header;
+}
+
+TEST(platform_dialect, tells_the_target_what_only_this_system_may_say) {
+  dispatch_facts Facts;
+  Facts.Account = "t";
+  Facts.TargetId = "i-1";
+  Facts.TimeLeft = std::chrono::milliseconds(321);
+  const auto Header = platform_dialect().headerForTarget(fromCaller(), Facts);
+  EXPECT_EQ(Header.count(http::field::authorization), 0U);
+  EXPECT_EQ(Header["X-Tenant"], "t");
+  EXPECT_EQ(Header["X-Expected-Instance"], "i-1");
+  EXPECT_EQ(Header["X-Deadline-Milliseconds"], "321");
+  EXPECT_EQ(Header["X-Request-Id"], "id-1");
+  EXPECT_EQ(Header["X-Shard-Key"], "77");
+  EXPECT_EQ(Header.target(), "/a/1?x=2");
+}
+
+TEST(platform_dialect, drops_an_account_that_the_caller_claims) {
+  const auto Header = platform_dialect().headerForTarget(fromCaller(), {});
+  EXPECT_EQ(Header.count("X-Tenant"), 0U);
+}
+
+TEST(platform_dialect, reads_how_long_the_caller_waits) {
+  request_header Header = fromCaller();
+  EXPECT_EQ(platform_dialect().patienceOf(Header),
+            std::chrono::milliseconds(1500));
+  Header.set("X-Deadline-Milliseconds", "soon");
+  EXPECT_EQ(platform_dialect().patienceOf(Header), std::nullopt);
+}
+
+struct answer_case {
+  std::string Name;
+  unsigned Status = 200;
+  std::vector<std::pair<std::string, std::string>> Fields;
+  bool NotRun = false;
+  bool OtherRequest = false;
+  bool Genuine = true;
+};
+
+void PrintTo(const answer_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class platform_answer : public testing::TestWithParam<answer_case> {};
+
+TEST_P(platform_answer, is_told_for_what_it_is) {
+  response_header Header;
+  Header.result(GetParam().Status);
+  for (const auto &[Name, Value] : GetParam().Fields)
+    Header.set(Name, Value);
+  const answer_facts Facts = platform_dialect().factsOf(Header, "id-1");
+  EXPECT_EQ(Facts.NotRun, GetParam().NotRun);
+  EXPECT_EQ(Facts.OtherRequest, GetParam().OtherRequest);
+  EXPECT_EQ(Facts.Genuine, GetParam().Genuine);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, platform_answer,
+    testing::Values(
+        answer_case{"signed_success",
+                    200,
+                    {{"X-Request-Id", "id-1"}, {"X-Response-Signature", "s"}}},
+        answer_case{"unsigned_success",
+                    200,
+                    {{"X-Request-Id", "id-1"}},
+                    false,
+                    false,
+                    false},
+        answer_case{"success_of_another",
+                    200,
+                    {{"X-Request-Id", "id-2"}, {"X-Response-Signature", "s"}},
+                    false,
+                    true},
+        answer_case{"shed", 503, {{"X-Not-Executed", "1"}}, true},
+        answer_case{"other_target", 421, {}, true},
+        answer_case{"failure_that_ran", 503, {}, false}),
+    [](const auto &Info) { return Info.param.Name; });
+
+TEST(platform_dialect, reads_the_load_with_and_without_the_slowdown) {
+  response_header Header;
+  Header.set("X-Server-Load", "3,1,8,250");
+  const auto Load = platform_dialect().factsOf(Header, "").Load;
+  ASSERT_TRUE(Load);
+  EXPECT_EQ(Load->Running, 3);
+  EXPECT_EQ(Load->Waiting, 1);
+  EXPECT_EQ(Load->Slots, 8);
+  EXPECT_EQ(Load->Slowdown, 2.5);
+  Header.set("X-Server-Load", "3,0,8");
+  EXPECT_EQ(platform_dialect().factsOf(Header, "").Load->Slowdown, 1);
+  Header.set("X-Server-Load", "much");
+  EXPECT_FALSE(platform_dialect().factsOf(Header, "").Load);
+}
+
+struct refusal_case {
+  error_kind Kind;
+  unsigned Status;
+  bool ToldWhenToReturn;
+};
+
+class platform_refusal : public testing::TestWithParam<refusal_case> {};
+
+TEST_P(platform_refusal, promises_not_run_only_where_that_is_so) {
+  const auto Answer =
+      platform_dialect().refusal(pomelo_error(GetParam().Kind, "why"), 11);
+  EXPECT_EQ(Answer.result_int(), GetParam().Status);
+  EXPECT_EQ(Answer.count(http::field::retry_after) > 0,
+            GetParam().ToldWhenToReturn);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, platform_refusal,
+    testing::Values(refusal_case{error_kind::RateExceeded, 429, true},
+                    refusal_case{error_kind::Overloaded, 503, true},
+                    refusal_case{error_kind::UpstreamFailed, 503, true},
+                    refusal_case{error_kind::DeadlineExceeded, 503, true},
+                    refusal_case{error_kind::PoisonRequest, 503, true},
+                    refusal_case{error_kind::OutcomeUnknown, 502, false},
+                    refusal_case{error_kind::NoRoute, 404, false},
+                    refusal_case{error_kind::Unauthenticated, 401, false}));
+
+} // namespace
+} // namespace pomelo::platform
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -50,7 +50,8 @@
   peer_dialer Dialer(Io, Listener.address(), Secret, Sending);
   Dialer.start();
 
-  const auto GiveUp = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  const auto GiveUp =
+      std::chrono::steady_clock::now() + std::chrono::seconds(5);
   while (!Closed && std::chrono::steady_clock::now() < GiveUp)
     Io.run_for(std::chrono::milliseconds(5));
   Dialer.stop();
