--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -516,11 +516,8 @@
   if (!Service)
     return nullptr;
   const auto Now = steady_clock::now();
-  const bool InTouch = Context.Authority.valid(Now);
   const auto Usable = [&](const routing_target &Target) {
-    const bool Near =
-        InTouch || Target.Member.FailureDomain == Context.FailureDomain;
-    return Near && Context.Book.usable(Target, Now) &&
+    return Context.Book.usable(Target, Now) &&
            Context.Book.hasRoom(Target, Now) &&
            admitCold(*Service, Target, false);
   };
@@ -531,8 +528,10 @@
     const bool Near = Target.Member.FailureDomain == Context.FailureDomain;
     return Context.Book.score(Target, Now) + (Near ? 0 : Crossing);
   };
-  auto Target =
-      chooseBest(*Service, TriedTargets, Usable, Load, Context.Random);
+  const bool InTouch = Context.Authority.valid(Now);
+  auto Target = chooseBest(
+      InTouch ? *Service : withinDomain(*Service, Context.FailureDomain),
+      TriedTargets, Usable, Load, Context.Random);
   if (!Target)
     return nullptr;
   admitCold(*Service, *Target, true);
--- a/src/pomeloswitch/ownership/order_keeper.cpp
+++ b/src/pomeloswitch/ownership/order_keeper.cpp
@@ -162,12 +162,12 @@
                       Found.Run.Last, SlotCount, Service.KeySpace,
                       Found.Run.Token, Times.Hold, Found.Handover});
   }
-  for (auto &[Id, Record] : Targets)
-    std::erase_if(Record.Calls, [&](const auto &Entry) {
-      const auto &[Key, Call] = Entry;
-      const auto &Runs = Present[Id];
-      return Key.first == Service.Name && !Call.InFlight &&
-             std::find(Runs.begin(), Runs.end(), Key.second) == Runs.end();
+  for (auto &Entry : Targets)
+    std::erase_if(Entry.second.Calls, [&](const auto &Each) {
+      const auto &Runs = Present[Entry.first];
+      return Each.first.first == Service.Name && !Each.second.InFlight &&
+             std::find(Runs.begin(), Runs.end(), Each.first.second) ==
+                 Runs.end();
     });
 }
 
--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace pomelo {
@@ -101,7 +103,11 @@
     std::uint32_t Last = 0;
     std::uint64_t Token = 0;
     order_kind Kind = order_kind::Grant;
-    auto operator<=>(const run &) const = default;
+    bool operator<(const run &Other) const {
+      return std::tie(First, Last, Token, Kind) <
+             std::tie(Other.First, Other.Last, Other.Token, Other.Kind);
+    }
+    bool operator==(const run &) const = default;
   };
   struct call_record {
     bool InFlight = false;
--- a/src/pomeloswitch/routing/target_choice.cpp
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -41,27 +41,6 @@
   return Slot.Token == Owner.Token && Slot.Phase == slot_phase::Active;
 }
 
-routing_target_ptr chooseOfTwo(const routing_service &Service,
-                               std::span<const std::string> Excluded,
-                               const load_estimate &Load,
-                               random_engine &Random) {
-  std::vector<routing_target_ptr> Candidates;
-  for (const auto &Target : Service.Targets)
-    if (Target->AcceptsNewWork &&
-        std::find(Excluded.begin(), Excluded.end(), Target->Member.TargetId) ==
-            Excluded.end())
-      Candidates.push_back(Target);
-  if (Candidates.empty())
-    return nullptr;
-  const auto Draw = [&] {
-    return std::uniform_int_distribution<std::size_t>(0, Candidates.size() -
-                                                             1)(Random);
-  };
-  const auto &First = Candidates[Draw()];
-  const auto &Second = Candidates[Draw()];
-  return Load(*Second) < Load(*First) ? Second : First;
-}
-
 routing_target_ptr
 chooseBest(const routing_service &Service,
            std::span<const std::string> Excluded,
--- a/src/pomeloswitch/routing/target_choice.hpp
+++ b/src/pomeloswitch/routing/target_choice.hpp
@@ -34,13 +34,6 @@
 //! How loaded a target looks from this host; lower is better.
 using load_estimate = std::function<double(const routing_target &)>;
 
-//! The less loaded of two targets drawn at random from those that accept new
-//! work and are not in \p Excluded; null if there is none.
-routing_target_ptr chooseOfTwo(const routing_service &Service,
-                               std::span<const std::string> Excluded,
-                               const load_estimate &Load,
-                               random_engine &Random);
-
 //! The target that looks best of those that accept new work, are \p Usable and
 //! are not in \p Excluded; null if there is none. \p Load is blurred a little,
 //! so that several entry hosts do not all choose the same one.
