--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/exchange.hpp"
+#include "pomeloswitch/http/readable_watch.hpp"
 #include "pomeloswitch/http/request_checks.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -112,8 +113,11 @@
 void caller_server::beginStop() {
   error_code Ignored;
   Acceptor.close(Ignored);
+  // A request that has come but was not read yet is served; to end input now
+  // would look like the end of its caller.
   for (const auto &Connection : Connections)
-    if (!Connection->Serving)
+    if (!Connection->Serving && Connection->Buffer.size() == 0 &&
+        peekInput(Connection->Stream.socket()) == input_state::Nothing)
       Connection->Stream.socket().shutdown(tcp::socket::shutdown_receive,
                                            Ignored);
 }
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -1,8 +1,13 @@
 #include "traffic_fixture.hpp"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 namespace pomelo {
 namespace {
 
@@ -196,6 +201,31 @@
                                   std::chrono::milliseconds(500)));
 }
 
+TEST(exchange, serves_a_request_that_was_not_read_when_the_stop_began) {
+  scripted_target Target([&](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.answer("certificate");
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  std::atomic<bool> Sent = false;
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::socket Socket(Io);
+  Socket.connect(parseEndpoint(Traffic.address()));
+  // The connection is taken on before the thread is kept busy.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Traffic.beginStopOnce([&] { return Sent.load(); });
+  boost::asio::write(
+      Socket, boost::asio::buffer(
+                  std::string("GET /idempotent HTTP/1.1\r\nHost: h\r\n\r\n")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Sent = true;
+  std::string Answer;
+  boost::system::error_code Ended;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ended);
+  EXPECT_TRUE(Answer.starts_with("HTTP/1.1 200")) << Answer;
+  EXPECT_NE(Answer.find("certificate"), std::string::npos);
+}
+
 TEST(exchange, completes_a_claimed_request_whose_caller_leaves) {
   std::atomic<bool> Arrived = false;
   std::atomic<bool> Go = false;
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -10,7 +10,9 @@
 #include "scripted_target.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -84,6 +86,15 @@
                                       Body,
                                       std::chrono::seconds(5)});
   }
+  //! Has the caller server begin to stop on its thread, once \p Ready holds;
+  //! until then the thread reads nothing.
+  void beginStopOnce(std::function<bool()> Ready) {
+    boost::asio::post(Io, [this, Ready = std::move(Ready)] {
+      emulator::waitUntil(Ready, std::chrono::seconds(2));
+      Context.Stopping = true;
+      Server.beginStop();
+    });
+  }
   [[nodiscard]] std::string address() const {
     return toString(Server.address());
   }
