--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -113,13 +113,12 @@
 void caller_server::beginStop() {
   error_code Ignored;
   Acceptor.close(Ignored);
-  // A request that has come but was not read yet is served; to end input now
-  // would look like the end of its caller.
+  // Only the wait for a request is ended, not the input: its end would look
+  // like that of the caller to a request that comes at this moment.
   for (const auto &Connection : Connections)
     if (!Connection->Serving && Connection->Buffer.size() == 0 &&
         peekInput(Connection->Stream.socket()) == input_state::Nothing)
-      Connection->Stream.socket().shutdown(tcp::socket::shutdown_receive,
-                                           Ignored);
+      Connection->Stream.socket().cancel(Ignored);
 }
 
 asio::awaitable<void> caller_server::acceptLoop() {
