Give small accounts after a change of leader what their rate brought between leaders

Cause: a new leader began with an empty bucket and told hosts at once that an account of single tokens had none left, so the requests that had piled up while there was no leader were refused (429, took_ms 115 to 487, each within the 500 ms after the kill). Ruled out: shares that were lost with the host lease (all leases had 1.19 s left) and a rate that was exceeded (13 of 11816 in the demo).

Change: hosts tell when the earlier leader last answered them; once all have told, the bucket gets what the rate brought since then. Until that is known an answer says nothing about an exhausted bucket, and a request waits 100 ms from the leader's word instead of from its arrival.

The test fails without the credit (0 of 15 served).

--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -90,8 +90,8 @@
   return AnsweredAt >= Since;
 }
 
-bool account_bucket::apply(const account_grant &Grant, time_point Until,
-                           time_point Now) {
+bool account_bucket::apply(const account_grant &Grant, bool AllKnown,
+                           time_point Until, time_point Now) {
   const std::lock_guard Lock(Mutex);
   update(Now);
   const bool Lowered = Grant.RatePerSecond < RatePerSecond;
@@ -101,8 +101,8 @@
   Level = std::min(Level, Depth);
   BurstTotal = Grant.BurstTotal;
   SurplusSeen = Grant.SurplusSeen;
-  Exhausted = Grant.Exhausted;
-  Decided = true;
+  Exhausted = AllKnown && Grant.Exhausted;
+  Decided = AllKnown;
   Unreported = true;
   ValidUntil = Until;
   AnsweredAt = Now;
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -44,9 +44,11 @@
 
   // For host_quota, on the control thread.
 
-  //! Puts a grant in force until \p Until. Returns whether it takes rate back,
+  //! Puts a grant in force until \p Until. \p AllKnown tells whether the leader
+  //! knows all that it can hand out. Returns whether the grant takes rate back,
   //! which others get only once the leader has heard of it.
-  bool apply(const account_grant &Grant, time_point Until, time_point Now);
+  bool apply(const account_grant &Grant, bool AllKnown, time_point Until,
+             time_point Now);
   //! Goes on with what is held until \p Until.
   void extend(time_point Until, time_point Now);
   //! Another ledger's grants follow: numbers begin anew and burst tokens end.
--- a/src/pomeloswitch/admission/account_ledger.cpp
+++ b/src/pomeloswitch/admission/account_ledger.cpp
@@ -83,6 +83,12 @@
   FilledAt = Now;
 }
 
+void account_ledger::credit(milliseconds Gap, mono_time Now) {
+  fill(Now);
+  Central += Rate * std::chrono::duration<double>(Gap).count();
+  clip();
+}
+
 //! Adds what the rate that is leased to nobody has brought since last time.
 void account_ledger::fill(mono_time Now) {
   const std::chrono::duration<double> Elapsed = Now - FilledAt;
--- a/src/pomeloswitch/admission/account_ledger.hpp
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -39,6 +39,9 @@
   //! Empties the central bucket.
   void empty(mono_time Now);
 
+  //! Adds what the whole rate brought in \p Gap, in which nothing was granted.
+  void credit(milliseconds Gap, mono_time Now);
+
   //! Learns which of the grants given to \p Host have ended, and its demand.
   void acknowledge(const host_run &Host, const account_report &Report,
                    mono_time Now);
--- a/src/pomeloswitch/admission/account_quota.hpp
+++ b/src/pomeloswitch/admission/account_quota.hpp
@@ -3,7 +3,9 @@
 #ifndef POMELOSWITCH_ADMISSION_ACCOUNT_QUOTA_HPP
 #define POMELOSWITCH_ADMISSION_ACCOUNT_QUOTA_HPP
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,9 @@
   std::uint64_t Term = 0;     //!< Of the ledger that the host follows.
   std::uint64_t Epoch = 0;    //!< Of the record that the ledger has of it.
   std::vector<account_report> Accounts;
+  //! How long ago the host was last answered by a leader before the one it
+  //! follows; none if it never was.
+  std::optional<std::chrono::milliseconds> EarlierAnswerAge;
 };
 
 //! What one account may do at an entry host until its lease runs out.
--- a/src/pomeloswitch/admission/host_quota.cpp
+++ b/src/pomeloswitch/admission/host_quota.cpp
@@ -34,6 +34,10 @@
   quota_report Report;
   Report.Term = Term;
   Report.Epoch = Epoch;
+  // Rounded down, so that the gap between leaders never looks longer.
+  if (EarlierAnsweredAt)
+    Report.EarlierAnswerAge =
+        std::chrono::floor<std::chrono::milliseconds>(Now - *EarlierAnsweredAt);
   const std::lock_guard Lock(Mutex);
   for (const auto &[Name, Bucket] : Buckets)
     if (!Bucket->idle(Now))
@@ -50,8 +54,10 @@
   const bool NewTerm = Grant.Term != Term;
   if (!NewTerm && Grant.Epoch == Epoch)
     return;
-  if (NewTerm)
+  if (NewTerm) {
     LeftTerms.push_back(Term);
+    EarlierAnsweredAt = AnsweredAt;
+  }
   if (LeftTerms.size() > MaxLeftTerms)
     LeftTerms.pop_front();
   Term = Grant.Term;
@@ -67,6 +73,7 @@
   LastSequence = Sequence;
   const std::lock_guard Lock(Mutex);
   follow(Grant, Now);
+  AnsweredAt = Now;
   // What the answer does not name goes on as it is.
   for (const auto &[Name, Bucket] : Buckets)
     Bucket->extend(Until, Now);
@@ -75,7 +82,8 @@
     const auto Found = Buckets.find(Each.Account);
     if (Found == Buckets.end())
       continue;
-    Changed = Found->second->apply(Each, Until, Now) || Changed;
+    Changed =
+        Found->second->apply(Each, !Grant.KeepHeld, Until, Now) || Changed;
   }
   return Changed;
 }
--- a/src/pomeloswitch/admission/host_quota.hpp
+++ b/src/pomeloswitch/admission/host_quota.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,8 @@
   std::uint64_t Term = 0;
   std::uint64_t Epoch = 0;
   std::deque<std::uint64_t> LeftTerms;
+  std::optional<time_point> AnsweredAt;        //!< By any leader.
+  std::optional<time_point> EarlierAnsweredAt; //!< By the leader left last.
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/admission/quota_codec.cpp
+++ b/src/pomeloswitch/admission/quota_codec.cpp
@@ -7,6 +7,9 @@
 void encode(const quota_report &Report, wire::quota_report &Out) {
   Out.set_term(Report.Term);
   Out.set_epoch(Report.Epoch);
+  if (Report.EarlierAnswerAge)
+    Out.set_earlier_answer_age_ms(
+        static_cast<std::uint64_t>(Report.EarlierAnswerAge->count()));
   for (const account_report &Account : Report.Accounts) {
     auto *Each = Out.add_accounts();
     Each->set_account(Account.Account);
@@ -26,6 +29,9 @@
   Report.Sequence = Sequence;
   Report.Term = Message.term();
   Report.Epoch = Message.epoch();
+  if (Message.has_earlier_answer_age_ms())
+    Report.EarlierAnswerAge =
+        std::chrono::milliseconds(Message.earlier_answer_age_ms());
   for (const wire::account_report &Each : Message.accounts())
     Report.Accounts.push_back({Each.account(), Each.grant_id(),
                                Each.rate_per_s(), Each.depth(),
--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -8,6 +8,7 @@
   Term = NewTerm;
   TermBegan = Now;
   TakeoverDone = false;
+  EarlierGrantAt = {};
   Hosts.clear();
   Ledgers.clear();
 }
@@ -20,7 +21,7 @@
 void rate_ledger::configure(std::span<const client_account> Accounts,
                             std::size_t HostCount, mono_time Now) {
   for (const client_account &Account : Accounts)
-    Ledgers.try_emplace(Account.Name, Now)
+    Ledgers.try_emplace(Account.Name, TakeoverDone ? Now : TermBegan)
         .first->second.configure(Account.RatePerSecond, Account.Burst,
                                  HostCount, Now);
   // What hosts hold of a removed account counts on, should it come back.
@@ -60,11 +61,24 @@
         return Hosts.contains({Entry.first, Entry.second.Incarnation});
       });
   TakeoverDone = AllKept && (AllTold || EarlierExpired);
-  // Until now more may have been leased than was known.
   if (TakeoverDone)
-    for (auto &[Name, Ledger] : Ledgers)
-      if (Ledger.shared())
-        Ledger.empty(Now);
+    endTakeover(AllTold, Now);
+}
+
+//! A rate that is shared out begins with an empty bucket, since until now more
+//! may have been leased than was known. Of another, nobody got anything between
+//! the last grant of an earlier leader and this term's beginning.
+void rate_ledger::endTakeover(bool AllTold, mono_time Now) {
+  const mono_time Earliest = TermBegan - Times.HostLease;
+  const mono_time GapBegan = std::max(EarlierGrantAt, Earliest);
+  const milliseconds Gap =
+      AllTold ? std::chrono::floor<milliseconds>(TermBegan - GapBegan)
+              : milliseconds(0);
+  for (auto &[Name, Ledger] : Ledgers)
+    if (Ledger.shared())
+      Ledger.empty(Now);
+    else
+      Ledger.credit(std::max(milliseconds(0), Gap), Now);
 }
 
 void rate_ledger::learn(const host_run &Host, host_record &Record,
@@ -73,6 +87,8 @@
     return;
   if (!Record.Inherited) {
     Record.Inherited = true;
+    if (Report.EarlierAnswerAge)
+      EarlierGrantAt = std::max(EarlierGrantAt, Now - *Report.EarlierAnswerAge);
     for (const account_report &Account : Report.Accounts)
       if (const auto Ledger = Ledgers.find(Account.Account);
           Ledger != Ledgers.end())
--- a/src/pomeloswitch/admission/rate_ledger.hpp
+++ b/src/pomeloswitch/admission/rate_ledger.hpp
@@ -47,6 +47,7 @@
   void configure(std::span<const client_account> Accounts,
                  std::size_t HostCount, mono_time Now);
   void updateTakeover(const entry_map &Registered, mono_time Now);
+  void endTakeover(bool AllTold, mono_time Now);
   void learn(const host_run &Host, host_record &Record,
              const quota_report &Report, mono_time Now);
   quota_grant grantAll(const host_run &Host, const host_record &Record,
@@ -56,6 +57,8 @@
   std::uint64_t Term = 0;
   std::uint64_t NextId = 1; //!< Of grants and epochs.
   mono_time TermBegan;
+  //! When a host of this term last took over a grant of an earlier leader.
+  mono_time EarlierGrantAt{};
   bool TakeoverDone = false;
   std::map<host_run, host_record> Hosts;
   std::map<std::string, account_ledger, std::less<>> Ledgers;
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -50,12 +50,15 @@
   asio::steady_timer Timer(Context.Io);
   auto Now = steady_clock::now();
   const steady_time Began = Now;
-  const steady_time GiveUp = std::min(Deadline, Now + MaxWait);
+  steady_time GiveUp = Now + MaxWait;
   const steady_time LastGiveUp = std::min(Deadline, Now + MaxUnansweredWait);
   const auto Unanswered = [&] {
     return !Bucket.decided(Now) || !Bucket.answeredSince(Began);
   };
-  while (Now < GiveUp || (Now < LastGiveUp && Unanswered())) {
+  while (Now < Deadline && Now < GiveUp) {
+    // The tokens that the leader has follow its answer.
+    if (Unanswered())
+      GiveUp = std::min(LastGiveUp, Now + MaxWait);
     Context.Quota.askForMore(Now);
     Timer.expires_at(std::min(Deadline, Now + PollInterval));
     co_await Timer.async_wait(asio::use_awaitable);
--- a/tests/admission/fleet_model.hpp
+++ b/tests/admission/fleet_model.hpp
@@ -118,7 +118,7 @@
   void fixShare(host &Host) const {
     const double Rate = Plan.Rate / Plan.Hosts;
     const double Depth = Plan.Burst / Plan.Hosts;
-    Host.Quota->bucket("a").apply({"a", 1, Rate, Depth, 0, 0, true},
+    Host.Quota->bucket("a").apply({"a", 1, Rate, Depth, 0, 0, true}, true,
                                   Now + Plan.Length, Now);
   }
   static std::string nameOf(unsigned Number) {
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -191,6 +191,40 @@
   EXPECT_TRUE(A.bucket("acc").decided(Now));
 }
 
+//! An account too small to be shared out, that uses its whole rate. Nothing is
+//! granted for 500 ms before the new leader's term.
+TEST_F(quota_rules, requests_that_came_between_leaders_find_their_rate) {
+  constexpr double SmallRate = 30;
+  const std::vector<client_account> Accounts{{"acc", SmallRate, SmallRate}};
+  const auto Beat = [&](const std::string &Host, host_quota &Quota) {
+    const quota_report Report = reportOf(Quota);
+    if (const auto Grant =
+            Ledger.answer({Host, 1}, Report, Accounts, Registered, Now))
+      Quota.apply(Report.Sequence, *Grant, Now + Lease, Now);
+  };
+  for (unsigned Round = 0; Round < 10; ++Round) {
+    Now += milliseconds(100);
+    arrive(A, 2);
+    Beat("a", A);
+    Beat("b", B);
+  }
+  Now += milliseconds(500);
+  Ledger.startTerm(2, Now);
+  for (unsigned Number = 0; Number < 14; ++Number)
+    EXPECT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+  Beat("a", A);
+  Beat("a", A);
+  EXPECT_FALSE(A.bucket("acc").decided(Now));
+  EXPECT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+  Beat("b", B);
+  Beat("b", B);
+  Beat("a", A);
+  EXPECT_TRUE(A.bucket("acc").decided(Now));
+  EXPECT_EQ(drain(A), 15U);
+  Beat("a", A);
+  EXPECT_LE(Ledger.find("acc")->stored(), 1);
+}
+
 TEST_F(quota_rules, new_leader_does_not_wait_for_a_lost_host_for_ever) {
   occupy("a", A);
   Ledger.startTerm(2, Now);
