Log the control group's decisions: members, slots, configurations, orders

Change: the leader logs each committed change of members, slots and configuration, and each order that is not a grant that was done; a request's sends tell the slot and its token.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/control/control_host.hpp"
 
 #include "pomeloswitch/admission/quota_codec.hpp"
+#include "pomeloswitch/control/decision_events.hpp"
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
@@ -168,7 +169,9 @@
   if (!Command.ParseFromString(Entry.Command))
     throw pomelo_error(error_kind::StorageFailed,
                        "a committed command does not parse");
-  Results[Entry.Index] = State.apply(Entry.Index, Command);
+  const apply_result &Result = Results[Entry.Index] =
+      State.apply(Entry.Index, Command);
+  logDecision(Command, Result, Entry.Index);
   const bool DomainBack =
       Command.has_set_drain() && !Command.set_drain().out() &&
       Command.set_drain().scope() == wire::set_drain::FAILURE_DOMAIN;
@@ -179,6 +182,16 @@
   sendLogToAll();
 }
 
+//! Every control host applies the same changes; the leader's line is enough.
+void control_host::logDecision(const wire::command &Command,
+                               const apply_result &Result,
+                               std::uint64_t Index) const {
+  if (!Log->leadershipConfirmed())
+    return;
+  if (const auto Event = eventOf(Command, Result, Index))
+    Text.event(log_level::Info, Event->Name, Event->Fields);
+}
+
 void control_host::change(wire::command Command, change_completion Done) {
   Command.set_time_ms(unixNowMs());
   Log->propose(
@@ -382,6 +395,8 @@
                  Order.Kind == order_kind::Grant ? Times.CallTimeout
                                                  : Times.ReleaseTimeout,
                  [this, Order, Term = OrderTerm](const order_result &Result) {
+                   if (const auto Event = eventOf(Order, Result))
+                     Text.event(log_level::Info, Event->Name, Event->Fields);
                    if (Term == OrderTerm)
                      Keeper.answered(Order, Result, steady_clock::now());
                  });
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -67,6 +67,8 @@
 
   replicated_log::applier makeApplier();
   void onCommitted(const committed_entry &Entry);
+  void logDecision(const wire::command &Command, const apply_result &Result,
+                   std::uint64_t Index) const;
   void onMessage(const std::shared_ptr<peer_link> &Link,
                  const wire::envelope &Message);
   void onHeartbeat(const std::shared_ptr<peer_link> &Link,
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -310,24 +310,24 @@
   Record.dispatched(Owner.Target->Member.TargetId);
   target_dispatch Dispatch(*Connection, Body, Context.Dialect, Plan.RequestId);
   struct noted_attempt {
-    noted_attempt(exchange &Exchange, const routing_target &Target,
+    noted_attempt(exchange &Exchange, const slot_owner &Owner,
                   target_dispatch &Dispatch)
-        : Exchange(Exchange), Target(Target), Dispatch(Dispatch),
+        : Exchange(Exchange), Owner(Owner), Dispatch(Dispatch),
           MightHaveRunBefore(Exchange.MightHaveRun),
           SentAt(steady_clock::now()) {
-      Exchange.Context.Book.sent(Target, SentAt);
+      Exchange.Context.Book.sent(*Owner.Target, SentAt);
     }
     ~noted_attempt() {
-      Exchange.noteAttempt(Target, Dispatch, MightHaveRunBefore, SentAt);
+      Exchange.noteAttempt(Owner, Dispatch, MightHaveRunBefore, SentAt);
     }
     noted_attempt(const noted_attempt &) = delete;
     noted_attempt &operator=(const noted_attempt &) = delete;
     exchange &Exchange;
-    const routing_target &Target;
+    const slot_owner &Owner;
     target_dispatch &Dispatch;
     bool MightHaveRunBefore;
     steady_clock::time_point SentAt;
-  } Noted(*this, *Owner.Target, Dispatch);
+  } Noted(*this, Owner, Dispatch);
   MightHaveRun = true;
   co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
   watchCaller();
@@ -367,7 +367,7 @@
   });
 }
 
-void exchange::noteAttempt(const routing_target &Target,
+void exchange::noteAttempt(const slot_owner &Owner,
                            const target_dispatch &Dispatch,
                            bool MightHaveRunBefore,
                            steady_clock::time_point SentAt) {
@@ -379,12 +379,16 @@
     ++LostConnections;
   const auto Now = steady_clock::now();
   const send_end End = sendEndOf(Dispatch, CallerGone);
-  Context.Book.ended(Target, End, Now - SentAt, Now);
-  Tries.push_back(
-      boost::json::object{{"target", Target.Member.TargetId},
+  Context.Book.ended(*Owner.Target, End, Now - SentAt, Now);
+  boost::json::object Try{{"target", Owner.Target->Member.TargetId},
                           {"sent_ms", millisecondsOf(SentAt - Began)},
                           {"took_ms", millisecondsOf(Now - SentAt)},
-                          {"end", nameOf(End)}});
+                          {"end", nameOf(End)}};
+  if (Plan.Key) {
+    Try["slot"] = Owner.Slot;
+    Try["token"] = Owner.Token;
+  }
+  Tries.push_back(std::move(Try));
 }
 
 //! Bridges a change of leader. The account's rate is leased too, so that
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -65,8 +65,8 @@
   request_header dispatchHeader(const slot_owner &Owner);
   boost::asio::awaitable<void> relayAnswer(upstream_loan &Connection,
                                            target_dispatch &Dispatch);
-  void noteAttempt(const routing_target &Target,
-                   const target_dispatch &Dispatch, bool MightHaveRunBefore,
+  void noteAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
+                   bool MightHaveRunBefore,
                    std::chrono::steady_clock::time_point SentAt);
   boost::asio::awaitable<void> investigate(routing_target_ptr Target);
   [[nodiscard]] pomelo_error truthful(const pomelo_error &Failure) const;
