Tell one request's story from the logs of several processes

Change: pomeloctl story REQUEST LOG... prints the lines that name it and what its slot, its targets and the control group went through around it, in order, with the cause; it names unreadable lines and says where lines were dropped. A request's line tells its slot.

--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/operator_commands.hpp"
 
 #include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/cli/request_story.hpp"
 #include "pomeloswitch/cli/rpc_client.hpp"
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/settings/json_document.hpp"
@@ -13,6 +14,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -39,6 +41,7 @@
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
   pomeloctl [options] explain SERVICE KEY
+  pomeloctl [options] story REQUEST LOG...
   pomeloctl [options] host show ADDRESS
   pomeloctl [options] host explain ADDRESS SERVICE KEY
   pomeloctl [options] control list
@@ -61,6 +64,9 @@
                        every entry host.
   --json               Print the answer as JSON.
   -h --help            Show this text.
+
+story tells from the logs of several processes what became of one request;
+REQUEST is the id that its caller sent.
   --version            Show the version.
 
 Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
@@ -255,7 +261,41 @@
     printForPeople(Answer, 0);
 }
 
+request_story readStory(const arguments &Arguments) {
+  request_story Story(Arguments.at("REQUEST").asString());
+  for (const std::string &Path : Arguments.at("LOG").asStringList()) {
+    std::ifstream Log(Path);
+    if (!Log)
+      throw pomelo_error(error_kind::BadSettings,
+                         fmt::format("cannot read {}", Path));
+    Story.read(Log, std::filesystem::path(Path).stem().string());
+  }
+  for (const std::string &Place : Story.unreadable())
+    fmt::print(stderr, "pomeloctl: {} is not a log line\n", Place);
+  if (!Story.found())
+    throw pomelo_error(error_kind::NotFound,
+                       fmt::format("no line of {} logs names the request {}",
+                                   Arguments.at("LOG").asStringList().size(),
+                                   Arguments.at("REQUEST").asString()));
+  return Story;
+}
+
+//! Times are told from the first line on.
+int tellStory(const arguments &Arguments) {
+  const request_story Story = readStory(Arguments);
+  const std::vector<story_line> Lines = Story.lines();
+  for (const story_line &Line : Lines)
+    fmt::print("{:>7} ms  {}  {}\n", Line.TimeMs - Lines.front().TimeMs,
+               Line.Process, Line.Text);
+  for (const story_line &Line : Story.dropped())
+    fmt::print("lines are missing: {} {}\n", Line.Process, Line.Text);
+  fmt::print("{}\n", Story.conclusion());
+  return 0;
+}
+
 int run(const arguments &Arguments) {
+  if (given(Arguments, "story"))
+    return tellStory(Arguments);
   if (given(Arguments, "host")) {
     print(Arguments, askEntryHost(Arguments));
     return 0;
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -170,6 +170,8 @@
       {"lease_left_ms", millisecondsOf(Context.Authority.validUntil() - Now)},
       {"took_ms", millisecondsOf(Now - Began)},
       {"attempts", Tries}};
+  if (Slot)
+    Fields["slot"] = *Slot;
   if (CallerGone)
     Fields["caller"] = "gone";
   if (Refusal) {
@@ -435,8 +437,9 @@
     if (!Service || !Service->Slots)
       throw pomelo_error(error_kind::NoTarget, "the service has no key slots");
     slot_owner Owner = findOwner(*View, *Service, *Plan.Key);
-    if (!std::exchange(ArrivalCounted, true))
+    if (!Slot)
       Context.Arrivals.arrived(Plan.Service, Owner.Slot);
+    Slot = Owner.Slot;
     const auto Now = steady_clock::now();
     const bool Authorised = Context.Authority.valid(Now);
     // Without an owner the request waits for whichever target the slot's keys
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -86,7 +86,7 @@
   bool MightHaveRun = false; //!< In any attempt so far.
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_break LastBreak = attempt_break::None;
-  bool ArrivalCounted = false;
+  std::optional<std::uint32_t> Slot; //!< Of the key, once it was looked up.
   unsigned Attempts = 0;
   boost::json::array Tries; //!< What became of each send, for the log.
   std::chrono::steady_clock::time_point Began =
