Let each slot of an ordered target go as soon as its own release is done

Change: the keeper tells which revoked slots are unsettled, each by itself; noteHolds is split. The test fails without it (one release done, one not).

--- a/src/pomeloswitch/membership/lease_table.cpp
+++ b/src/pomeloswitch/membership/lease_table.cpp
@@ -134,20 +134,30 @@
          Now - targetHeardAt(Target.TargetId) <= Times.CalledTargetFresh;
 }
 
-std::optional<call_hold>
-lease_table::progressOf(const target_member &Target) const {
+std::uint64_t lease_table::takenIndex(const target_member &Target) const {
   if (Target.OrderedByCall) {
     const call_hold *Hold = findHold(Target);
-    return Hold ? std::optional(*Hold) : std::nullopt;
+    return Hold ? Hold->TakenIndex : 0;
   }
   const target_status *Status = findTarget(Target.TargetId);
-  if (!Status)
-    return std::nullopt;
-  call_hold Progress;
-  Progress.Incarnation = Status->Announced.Incarnation;
-  Progress.TakenIndex = Status->TakenIndex;
-  Progress.SettledIndex = Status->SettledIndex;
-  return Progress;
+  return Status && Status->Announced.Incarnation == Target.Incarnation
+             ? Status->TakenIndex
+             : 0;
+}
+
+bool lease_table::slotLetGo(const target_member &Owner,
+                            std::string_view Service, std::uint32_t Slot,
+                            std::uint64_t RevokeIndex) const {
+  if (!Owner.OrderedByCall) {
+    const target_status *Status = findTarget(Owner.TargetId);
+    return Status && Status->Announced.Incarnation == Owner.Incarnation &&
+           Status->SettledIndex >= RevokeIndex;
+  }
+  const call_hold *Hold = findHold(Owner);
+  if (!Hold || Hold->NotedIndex < RevokeIndex)
+    return false;
+  const auto Slots = Hold->Unsettled.find(Service);
+  return Slots == Hold->Unsettled.end() || !Slots->second.contains(Slot);
 }
 
 bool lease_table::predecessorEnded(std::string_view HostId,
--- a/src/pomeloswitch/membership/lease_table.hpp
+++ b/src/pomeloswitch/membership/lease_table.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -56,10 +57,12 @@
   std::uint64_t Incarnation = 0;
   //! Until when orders sent so far may let it serve any slot.
   mono_time HeldUntil{};
-  std::uint64_t TakenIndex = 0;   //!< As in target_status.
-  std::uint64_t SettledIndex = 0; //!< As in target_status.
-  bool Keeps = true;              //!< It is to keep the slots that it has.
-  bool Answers = true;            //!< It may be given more.
+  std::uint64_t TakenIndex = 0; //!< As in target_status.
+  std::uint64_t NotedIndex = 0; //!< Of the state that this was worked out from.
+  //! Revoked slots, by service, that it may still serve.
+  std::map<std::string, std::set<std::uint32_t>, std::less<>> Unsettled;
+  bool Keeps = true;   //!< It is to keep the slots that it has.
+  bool Answers = true; //!< It may be given more.
 };
 
 struct host_status {
@@ -117,9 +120,13 @@
   //! Whether the target may be given more slots.
   [[nodiscard]] bool targetReceives(const target_member &Target,
                                     mono_time Now) const;
-  //! What the target has taken over and settled; nothing if that is not known.
-  [[nodiscard]] std::optional<call_hold>
-  progressOf(const target_member &Target) const;
+  //! Up to which log index the target has taken over what it was granted.
+  [[nodiscard]] std::uint64_t takenIndex(const target_member &Target) const;
+  //! Whether the owner of a slot that was revoked at \p RevokeIndex surely
+  //! starts no more work on it, and has none under way.
+  [[nodiscard]] bool slotLetGo(const target_member &Owner,
+                               std::string_view Service, std::uint32_t Slot,
+                               std::uint64_t RevokeIndex) const;
 
   //! Whether no entry host can send or still has in flight a request on a slot
   //! revoked at \p RevokeIndex. An expired host counts once \p InFlight more
--- a/src/pomeloswitch/ownership/order_keeper.cpp
+++ b/src/pomeloswitch/ownership/order_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace pomelo {
 namespace {
@@ -252,57 +253,65 @@
           Slots[Number].AnsweredUntil = Slots[Number].LateUntil = mono_time();
 }
 
+mono_time order_keeper::mayServeUntil(const slot_hold &Slot,
+                                      mono_time Now) const {
+  if (Slot.InFlight > 0)
+    return std::max(Slot.LateUntil, surelyEnded(Now + Times.CallTimeout));
+  return std::max(Slot.LateUntil, Slot.AnsweredUntil);
+}
+
+void order_keeper::noteSlot(const std::string &Service, std::uint32_t Number,
+                            const owned_slot &Slot, const slot_hold &Known,
+                            mono_time Now, call_hold &Hold) const {
+  const mono_time Until = mayServeUntil(Known, Now);
+  Hold.HeldUntil = std::max(Hold.HeldUntil, Until);
+  if (Slot.Phase == slot_phase::Granted && Known.Confirmed != Slot.Token)
+    Hold.TakenIndex = std::min(Hold.TakenIndex, Slot.ChangedIndex - 1);
+  if (Slot.Phase == slot_phase::Revoking && Now <= Until)
+    Hold.Unsettled[Service].insert(Number);
+}
+
+//! A target is left that seems to be another process than the one that was
+//! ordered, or whose calls have failed for a while.
+void order_keeper::noteTarget(const std::string &TargetId, bool HasSlots,
+                              mono_time Now, call_hold &Hold) const {
+  const auto Found = Targets.find(TargetId);
+  if (Found == Targets.end() || Found->second.Incarnation != Hold.Incarnation)
+    return;
+  const target_record &Record = Found->second;
+  const bool GivenUp = HasSlots && Record.Failures > 0 &&
+                       Now - Record.DoneAt > Times.GivenUpAfter;
+  Hold.Keeps = !Record.Suspect && !GivenUp;
+  Hold.Answers = Record.Failures == 0;
+}
+
 void order_keeper::noteHolds(const cluster_state &State, lease_table &Leases,
                              mono_time Now) const {
-  struct progress {
-    call_hold Hold;
-    bool HasSlots = false;
-  };
-  constexpr auto Everything = std::numeric_limits<std::uint64_t>::max();
-  std::map<std::string, progress> All;
+  std::map<std::string, call_hold> All;
+  std::set<std::string> WithSlots;
   for (const auto &[Id, Member] : State.targets())
     if (Member.OrderedByCall) {
-      progress &Progress = All[Id];
-      Progress.Hold.Incarnation = Member.Incarnation;
-      Progress.Hold.TakenIndex = Everything;
-      Progress.Hold.SettledIndex = Everything;
+      call_hold &Hold = All[Id];
+      Hold.Incarnation = Member.Incarnation;
+      Hold.NotedIndex = State.index();
+      Hold.TakenIndex = std::numeric_limits<std::uint64_t>::max();
     }
   for (const auto &[Name, Slots] : Holds) {
     const auto Table = State.slotsPart(Name);
     if (!Table || Table->size() != Slots.size())
       continue;
-    for (std::size_t Number = 0; Number < Slots.size(); ++Number) {
+    for (std::uint32_t Number = 0; Number < Slots.size(); ++Number) {
       const owned_slot &Slot = (*Table)[Number];
-      const target_member *Owner = calledOwner(State, Slot);
-      if (!Owner)
+      if (!calledOwner(State, Slot))
         continue;
-      const slot_hold &Known = Slots[Number];
-      progress &Progress = All[Owner->TargetId];
-      const mono_time Until =
-          Known.InFlight > 0
-              ? std::max(Known.LateUntil, surelyEnded(Now + Times.CallTimeout))
-              : std::max(Known.LateUntil, Known.AnsweredUntil);
-      Progress.Hold.HeldUntil = std::max(Progress.Hold.HeldUntil, Until);
-      Progress.HasSlots |= held(Slot);
-      const bool Taken = Known.Confirmed == Slot.Token;
-      if (Slot.Phase == slot_phase::Granted && !Taken)
-        Progress.Hold.TakenIndex =
-            std::min(Progress.Hold.TakenIndex, Slot.ChangedIndex - 1);
-      if (Slot.Phase == slot_phase::Revoking && Now <= Until)
-        Progress.Hold.SettledIndex =
-            std::min(Progress.Hold.SettledIndex, Slot.ChangedIndex - 1);
+      noteSlot(Name, Number, Slot, Slots[Number], Now, All[Slot.Owner]);
+      if (held(Slot))
+        WithSlots.insert(Slot.Owner);
     }
   }
-  for (auto &[Id, Progress] : All) {
-    const auto Found = Targets.find(Id);
-    const bool Known = Found != Targets.end() &&
-                       Found->second.Incarnation == Progress.Hold.Incarnation;
-    const unsigned Failures = Known ? Found->second.Failures : 0;
-    const bool GivenUp = Progress.HasSlots && Failures > 0 &&
-                         Now - Found->second.DoneAt > Times.GivenUpAfter;
-    Progress.Hold.Keeps = !(Known && Found->second.Suspect) && !GivenUp;
-    Progress.Hold.Answers = Failures == 0;
-    Leases.noteHold(Id, Progress.Hold);
+  for (auto &[Id, Hold] : All) {
+    noteTarget(Id, WithSlots.contains(Id), Now, Hold);
+    Leases.noteHold(Id, Hold);
   }
 }
 
--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -147,6 +147,13 @@
                            const std::string &Handover);
   void forgetOldCalls(const cluster_state &State, const lease_table &Leases);
   [[nodiscard]] mono_time surelyEnded(mono_time From) const;
+  [[nodiscard]] mono_time mayServeUntil(const slot_hold &Slot,
+                                        mono_time Now) const;
+  void noteSlot(const std::string &Service, std::uint32_t Number,
+                const owned_slot &Slot, const slot_hold &Known, mono_time Now,
+                call_hold &Hold) const;
+  void noteTarget(const std::string &TargetId, bool HasSlots, mono_time Now,
+                  call_hold &Hold) const;
 
   order_times Times;
   std::map<std::string, std::vector<slot_hold>, std::less<>> Holds;
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -132,23 +132,21 @@
   //! Whether the last owner of a revoked slot starts no more work on it. An
   //! owner that checks the fence refuses it by itself; towards any other, the
   //! entry hosts must have stopped and what they sent must have ended.
-  bool handoverSafe(const owned_slot &Slot) const {
-    return Slot.OwnerChecks ? checkingOwnerLetGo(Slot)
+  bool handoverSafe(std::uint32_t Number, const owned_slot &Slot) const {
+    return Slot.OwnerChecks ? checkingOwnerLetGo(Number, Slot)
                             : Leases.quiesced(State, Slot.ChangedIndex,
                                               longestDeadline(), Now);
   }
 
   //! The member of an id is replaced or dropped only after its lease ran out.
-  bool checkingOwnerLetGo(const owned_slot &Slot) const {
+  bool checkingOwnerLetGo(std::uint32_t Number, const owned_slot &Slot) const {
     const auto Owner = State.targets().find(Slot.Owner);
     if (Owner == State.targets().end() ||
         Owner->second.Incarnation != Slot.OwnerIncarnation)
       return true;
-    if (Leases.targetLetGo(Owner->second, Now))
-      return true;
-    const auto Progress = Leases.progressOf(Owner->second);
-    return Progress && Progress->Incarnation == Slot.OwnerIncarnation &&
-           Progress->SettledIndex >= Slot.ChangedIndex;
+    return Leases.targetLetGo(Owner->second, Now) ||
+           Leases.slotLetGo(Owner->second, Service.Name, Number,
+                            Slot.ChangedIndex);
   }
 
   milliseconds longestDeadline() const {
@@ -174,7 +172,7 @@
     for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const owned_slot &Slot = (*Table)[Number];
       if (Slot.Phase == slot_phase::Unowned ||
-          (Slot.Phase == slot_phase::Revoking && handoverSafe(Slot)))
+          (Slot.Phase == slot_phase::Revoking && handoverSafe(Number, Slot)))
         grant(Number, Slot);
       else if (Slot.Phase != slot_phase::Revoking && !findCandidate(Slot.Owner))
         Revokes.add_slots(Number);
@@ -249,13 +247,13 @@
   void emitActivations(std::vector<wire::command> &Commands) {
     for (const candidate &Each : Candidates) {
       const auto &Id = Each.Target->TargetId;
-      const auto Progress = Leases.progressOf(*Each.Target);
-      if (!Progress || !hasGrantToActivate(Id, Progress->TakenIndex))
+      const std::uint64_t TakenIndex = Leases.takenIndex(*Each.Target);
+      if (!hasGrantToActivate(Id, TakenIndex))
         continue;
       auto *Activate = Commands.emplace_back().mutable_activate_slots();
       Activate->set_service(Service.Name);
       Activate->set_target_id(Id);
-      Activate->set_taken_index(Progress->TakenIndex);
+      Activate->set_taken_index(TakenIndex);
     }
   }
 
--- a/tests/ownership/order_keeper_test.cpp
+++ b/tests/ownership/order_keeper_test.cpp
@@ -86,12 +86,14 @@
     EXPECT_EQ(Orders.size(), 1U);
     return Orders.empty() ? target_order() : Orders.front();
   }
-  call_hold progress(const std::string &Id) {
+  std::uint64_t taken(const std::string &Id) {
     Keeper.noteHolds(Driven.State, Leases, Now);
-    return Leases.progressOf(Driven.State.targets().at(Id)).value();
+    return Leases.takenIndex(Driven.State.targets().at(Id));
   }
   bool settled(const std::string &Id, std::uint32_t Slot) {
-    return progress(Id).SettledIndex >= Driven.slot(Slot).ChangedIndex;
+    Keeper.noteHolds(Driven.State, Leases, Now);
+    return Leases.slotLetGo(Driven.State.targets().at(Id), "archive", Slot,
+                            Driven.slot(Slot).ChangedIndex);
   }
 
   mono_time Now = Start;
@@ -110,9 +112,9 @@
 
 TEST_F(order_keeping, counts_a_grant_as_taken_once_it_is_answered) {
   const target_order Order = only(due());
-  EXPECT_LT(progress("t1").TakenIndex, Driven.slot(0).ChangedIndex);
+  EXPECT_LT(taken("t1"), Driven.slot(0).ChangedIndex);
   answer(Order, order_outcome::Done);
-  EXPECT_GE(progress("t1").TakenIndex, Driven.slot(0).ChangedIndex);
+  EXPECT_GE(taken("t1"), Driven.slot(0).ChangedIndex);
 }
 
 TEST_F(order_keeping, renews_before_the_hold_runs_out) {
@@ -170,6 +172,19 @@
   EXPECT_TRUE(settled("t2", 3));
 }
 
+//! Slots whose release is answered, or that were never carried over, go on
+//! while others of the same owner still wait for their holds to run out.
+TEST_F(order_keeping, lets_each_slot_go_as_soon_as_its_own_release_is_done) {
+  answer(only(due()), order_outcome::Done);
+  revoke({0, 2});
+  const auto Releases = releasesDue();
+  ASSERT_EQ(Releases.size(), 2U);
+  answer(Releases.front(), order_outcome::Done);
+  answer(Releases.back(), order_outcome::Unreachable);
+  EXPECT_TRUE(settled("t1", 0));
+  EXPECT_FALSE(settled("t1", 2));
+}
+
 TEST_F(order_keeping, holds_a_release_back_while_a_grant_is_under_way) {
   const target_order Grant = only(due());
   revoke({0, 1, 2, 3});
@@ -217,7 +232,8 @@
   answer(only(due()), order_outcome::Done);
   Now += order_times().RenewEvery;
   answer(only(due()), order_outcome::Unreachable);
-  EXPECT_FALSE(progress("t1").Keeps);
+  Keeper.noteHolds(Driven.State, Leases, Now);
+  EXPECT_FALSE(Leases.targetKeeps(Driven.State.targets().at("t1"), Now));
   revoke({0, 1, 2, 3});
   EXPECT_FALSE(settled("t1", 0));
 }
