Hold orders to targets for 2 s instead of 3

Cause: the keys of a target that ended find no owner until its hold has surely run out, 3.2 s, and a silent one was given up after 1.5 s.

Change: hold 2 s, renewed every 0.5 s, given up after 1 s. A change of leader takes up to 1.6 s.

--- a/src/pomeloswitch/ownership/order_keeper.hpp
+++ b/src/pomeloswitch/ownership/order_keeper.hpp
@@ -54,8 +54,8 @@
 };
 
 struct order_times {
-  milliseconds Hold{3000};
-  milliseconds RenewEvery{700};
+  milliseconds Hold{2000};
+  milliseconds RenewEvery{500};
   milliseconds RetryAfter{300};
   //! A call is given up after this long.
   milliseconds CallTimeout{700};
@@ -67,7 +67,7 @@
   double MaxClockDrift = 0.03;
   //! A target none of whose calls was done for so long is given up, so that
   //! what it may hold runs out.
-  milliseconds GivenUpAfter{1500};
+  milliseconds GivenUpAfter{1000};
 };
 
 class order_keeper {
--- a/src/pomeloswitch/settings/control_settings.hpp
+++ b/src/pomeloswitch/settings/control_settings.hpp
@@ -28,7 +28,7 @@
   //! How long an entry host may route after the leader last heard it.
   std::uint32_t HostLeaseMs = 1200;
   //! How long a target that is ordered by calls holds its slots after each.
-  std::uint32_t TargetHoldMs = 3000;
+  std::uint32_t TargetHoldMs = 2000;
   log_settings Log;
   std::string Adapter; //!< The member "adapter" as JSON, or empty.
 };
