One reader for the JSON of calls; overtaken reports are the lease table's business

Change: settings/json_fields serves both; lease_table drops a report that was overtaken, with a test; exchange keeps the id itself. Nothing else changes.

--- a/src/pomeloswitch/control/admin_api.cpp
+++ b/src/pomeloswitch/control/admin_api.cpp
@@ -1,12 +1,12 @@
 #include "pomeloswitch/control/admin_api.hpp"
 
-#include "pomeloswitch/control/request_fields.hpp"
 #include "pomeloswitch/membership/in_force.hpp"
 #include "pomeloswitch/raft/replicated_log.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 #include "pomeloswitch/routing/route_table.hpp"
 #include "pomeloswitch/settings/common_settings.hpp"
 #include "pomeloswitch/settings/control_settings.hpp"
+#include "pomeloswitch/settings/json_fields.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -308,14 +308,14 @@
 }
 
 asio::awaitable<json::object> admin_api::postKey(const text_request &Request) {
-  const json::object Body = parseBody(Request);
+  const json::object Body = parseObject(Request.body());
   const std::string OperationId(Request[OperationField]);
   const minted_key Key =
       mintAccountKey(Backend.settings().ClusterSecret,
                      OperationId.empty() ? randomHex(16) : OperationId);
   wire::command Command;
   auto *Issue = Command.mutable_issue_key();
-  Issue->set_account(requiredText(Body, "account"));
+  Issue->set_account(filledTextIn(Body, "account"));
   Issue->set_key_id(Key.Id);
   Issue->set_key_hash(Key.Hash);
   json::object Answer = co_await applyChange(Request, std::move(Command));
@@ -326,24 +326,24 @@
 
 asio::awaitable<json::object>
 admin_api::postWithdrawal(const text_request &Request) {
-  const json::object Body = parseBody(Request);
+  const json::object Body = parseObject(Request.body());
   wire::command Command;
-  Command.mutable_withdraw_key()->set_key_id(requiredText(Body, "key_id"));
+  Command.mutable_withdraw_key()->set_key_id(filledTextIn(Body, "key_id"));
   co_return co_await applyChange(Request, std::move(Command));
 }
 
 asio::awaitable<json::object>
 admin_api::postDrain(const text_request &Request) {
-  const json::object Body = parseBody(Request);
+  const json::object Body = parseObject(Request.body());
   wire::command Command;
   auto *Drain = Command.mutable_set_drain();
-  const std::string Scope = requiredText(Body, "scope");
+  const std::string Scope = filledTextIn(Body, "scope");
   if (Scope != "failure_domain" && Scope != "target")
     throw pomelo_error(error_kind::BadRequest,
                        "scope: must be \"failure_domain\" or \"target\"");
   Drain->set_scope(Scope == "target" ? wire::set_drain::TARGET
                                      : wire::set_drain::FAILURE_DOMAIN);
-  Drain->set_name(requiredText(Body, "name"));
+  Drain->set_name(filledTextIn(Body, "name"));
   Drain->set_out(flagField(Body, "out", true));
   co_return co_await applyChange(Request, std::move(Command));
 }
--- a/src/pomeloswitch/control/control_group_api.cpp
+++ b/src/pomeloswitch/control/control_group_api.cpp
@@ -1,8 +1,8 @@
 //! The administration API's endpoints for the control group and its state.
 #include "pomeloswitch/control/admin_api.hpp"
-#include "pomeloswitch/control/request_fields.hpp"
 #include "pomeloswitch/raft/replicated_log.hpp"
 #include "pomeloswitch/settings/control_settings.hpp"
+#include "pomeloswitch/settings/json_fields.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -25,7 +25,7 @@
 constexpr milliseconds CommitPoll{5};
 
 std::string addressField(const json::object &Body) {
-  std::string Address = requiredText(Body, "address");
+  std::string Address = filledTextIn(Body, "address");
   try {
     parseEndpoint(Address);
   } catch (const pomelo_error &Failure) {
@@ -54,10 +54,10 @@
 
 asio::awaitable<json::object>
 admin_api::postControlHost(const text_request &Request) {
-  const json::object Body = parseBody(Request);
-  const host_address Host{requiredText(Body, "host_id"), addressField(Body)};
+  const json::object Body = parseObject(Request.body());
+  const host_address Host{filledTextIn(Body, "host_id"), addressField(Body)};
   const std::string Replaces =
-      Body.contains("replaces") ? requiredText(Body, "replaces") : "";
+      Body.contains("replaces") ? filledTextIn(Body, "replaces") : "";
   const std::uint64_t Index = Backend.log().addMember(Host, Replaces);
   co_await waitCommitted(Index);
   co_return json::object{{"index", Index}};
@@ -65,9 +65,9 @@
 
 asio::awaitable<json::object>
 admin_api::postControlRemoval(const text_request &Request) {
-  const json::object Body = parseBody(Request);
+  const json::object Body = parseObject(Request.body());
   const std::uint64_t Index =
-      Backend.log().removeMember(requiredText(Body, "host_id"));
+      Backend.log().removeMember(filledTextIn(Body, "host_id"));
   co_await waitCommitted(Index);
   co_return json::object{{"index", Index}};
 }
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -157,11 +157,11 @@
 //! went as usual are sampled by the caller's id, alike on every host.
 void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
   const bool Usual = !Refusal && !CallerGone && Attempts <= 1;
-  if (Usual && !sampled(Plan.RequestId))
+  if (Usual && !sampled(RequestId))
     return;
   const auto Now = steady_clock::now();
   boost::json::object Fields{
-      {"request", Plan.RequestId},
+      {"request", RequestId},
       {"route", Plan.Route.Name},
       {"service", Plan.Service},
       {"account", Plan.Account},
@@ -184,7 +184,7 @@
 }
 
 asio::awaitable<void> exchange::serve() {
-  Plan.RequestId = Context.Dialect.requestIdOf(Request.get());
+  RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = makeRequestPlan(Request, Context);
   Record.routed(Plan.Route.Name, Plan.Service, Plan.Account);
   if (Plan.Route.Access == route_access::Account) {
@@ -310,7 +310,7 @@
   const request_header Header = dispatchHeader(Owner);
   checkMayDispatch(Owner);
   Record.dispatched(Owner.Target->Member.TargetId);
-  target_dispatch Dispatch(*Connection, Body, Context.Dialect, Plan.RequestId);
+  target_dispatch Dispatch(*Connection, Body, Context.Dialect, RequestId);
   struct noted_attempt {
     noted_attempt(exchange &Exchange, const slot_owner &Owner,
                   target_dispatch &Dispatch)
@@ -589,7 +589,7 @@
   Facts.TimeLeft = std::chrono::duration_cast<milliseconds>(
       Plan.Deadline - steady_clock::now());
   Facts.TargetId = Owner.Target->Member.TargetId;
-  Facts.RequestId = Plan.RequestId;
+  Facts.RequestId = RequestId;
   Facts.TraceParent = Record.traceParentForTarget();
   return Context.Dialect.headerForTarget(Request.get(), Facts);
 }
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -79,6 +79,7 @@
   boost::beast::tcp_stream &Caller;
   request_stream_parser &Request;
   std::shared_ptr<const routing_view> View;
+  std::string RequestId; //!< As its caller named it.
   request_plan Plan;
   caller_body Body;
   request_record Record;
--- a/src/pomeloswitch/http/request_plan.cpp
+++ b/src/pomeloswitch/http/request_plan.cpp
@@ -97,7 +97,6 @@
   Plan.Keys = View.Keys;
   Plan.Route = *Route;
   Plan.Priority = Route->Priority;
-  Plan.RequestId = Context.Dialect.requestIdOf(Header);
   if (Route->Access == route_access::Account)
     identifyAccount(Plan, Header, Context);
   Plan.Service = drawPart(*Route, Context.Random);
--- a/src/pomeloswitch/http/request_plan.hpp
+++ b/src/pomeloswitch/http/request_plan.hpp
@@ -18,8 +18,7 @@
 
 struct request_plan {
   route Route;
-  std::string Service;   //!< Of the route's parts, the one drawn for it.
-  std::string RequestId; //!< As the caller named it, for logs.
+  std::string Service; //!< Of the route's parts, the one drawn for it.
   std::uint32_t Priority = 0;
   bool RateLimited = false;
   std::string Account; //!< Empty on routes open to all.
--- a/src/pomeloswitch/membership/lease_table.cpp
+++ b/src/pomeloswitch/membership/lease_table.cpp
@@ -60,10 +60,14 @@
   }
   const bool Continues =
       Earlier && Earlier->Announced.Incarnation == Status.Announced.Incarnation;
+  if (Continues && Status.Sequence > 0 && Status.Sequence <= Earlier->Sequence)
+    return false;
   const unsigned WarmBefore = Continues ? Earlier->WarmReports : 0;
+  const std::uint64_t LastSequence = Continues ? Earlier->Sequence : 0;
   target_status &Record = Targets[Status.Announced.TargetId];
   Record = Status;
   Record.WarmReports = Status.Announced.Cold ? 0 : WarmBefore + 1;
+  Record.Sequence = std::max(Status.Sequence, LastSequence);
   Record.TakenIndex = std::min(Status.TakenIndex, CommitIndex);
   Record.SettledIndex = std::min(Status.SettledIndex, Record.TakenIndex);
   return true;
--- a/src/pomeloswitch/membership/lease_table.hpp
+++ b/src/pomeloswitch/membership/lease_table.hpp
@@ -50,6 +50,8 @@
   //! Reports in a row, since the leader last saw cause for doubt, in which the
   //! target said that it is not cold.
   unsigned WarmReports = 0;
+  //! Rises from report to report of one incarnation; 0 if it is not told.
+  std::uint64_t Sequence = 0;
 };
 
 //! What a target that is ordered by calls may hold.
@@ -93,7 +95,8 @@
   //! The indexes are taken no further than \p CommitIndex, nor the quiesced
   //! one further than the applied one.
   bool hostHeard(host_status Status, std::uint64_t CommitIndex);
-  //! Records an announcement, by the same rule for incarnations.
+  //! Records an announcement, by the same rule for incarnations. One that was
+  //! overtaken by a later one tells nothing new; false is returned.
   bool targetHeard(const target_status &Status, std::uint64_t CommitIndex);
 
   //! Records what the calls to a target have come to.
--- a/platform/json_fields.cpp
+++ b/src/pomeloswitch/settings/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "platform/json_fields.hpp"
+#include "pomeloswitch/settings/json_fields.hpp"
 
 #include "pomeloswitch/errors/error_kind.hpp"
 
@@ -7,7 +7,7 @@
 
 #include <cmath>
 
-namespace pomelo::platform {
+namespace pomelo {
 namespace {
 
 namespace json = boost::json;
@@ -54,6 +54,13 @@
   return std::string(Member.as_string());
 }
 
+std::string filledTextIn(const json::object &From, std::string_view Name) {
+  std::string Text = textIn(From, Name);
+  if (Text.empty())
+    refuse(Name, "is empty");
+  return Text;
+}
+
 double realIn(const json::object &From, std::string_view Name) {
   const json::value &Member = memberOf(From, Name);
   if (!Member.is_number())
@@ -78,4 +85,4 @@
   return std::chrono::milliseconds(std::llround(Seconds * 1000));
 }
 
-} // namespace pomelo::platform
+} // namespace pomelo
--- a/platform/json_fields.hpp
+++ b/src/pomeloswitch/settings/json_fields.hpp
@@ -1,6 +1,6 @@
-//! Reading members of the platform's JSON bodies.
-#ifndef POMELOSWITCH_PLATFORM_JSON_FIELDS_HPP
-#define POMELOSWITCH_PLATFORM_JSON_FIELDS_HPP
+//! Reading members of the JSON bodies of calls.
+#ifndef POMELOSWITCH_SETTINGS_JSON_FIELDS_HPP
+#define POMELOSWITCH_SETTINGS_JSON_FIELDS_HPP
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace pomelo::platform {
+namespace pomelo {
 
 //! \throws pomelo_error BadRequest if \p Text is no JSON object.
 boost::json::object parseObject(std::string_view Text);
@@ -20,12 +20,15 @@
 const boost::json::object &objectIn(const boost::json::object &From,
                                     std::string_view Name);
 std::string textIn(const boost::json::object &From, std::string_view Name);
+//! Likewise, and not empty.
+std::string filledTextIn(const boost::json::object &From,
+                         std::string_view Name);
 double realIn(const boost::json::object &From, std::string_view Name);
 std::uint64_t wholeIn(const boost::json::object &From, std::string_view Name);
-//! The platform tells times in seconds, with fractions.
+//! Of a time in seconds, with fractions.
 std::chrono::milliseconds timeIn(const boost::json::object &From,
                                  std::string_view Name);
 
-} // namespace pomelo::platform
+} // namespace pomelo
 
 #endif
--- a/tests/membership/lease_table_test.cpp
+++ b/tests/membership/lease_table_test.cpp
@@ -48,6 +48,23 @@
   EXPECT_EQ(Leases.findTarget("t1")->SettledIndex, Commit);
 }
 
+//! A report that was overtaken must not make a target ready again that leaves.
+TEST(lease_table, takes_nothing_from_a_report_that_was_overtaken) {
+  lease_table Leases{lease_times()};
+  target_status Leaving = report(testTarget("t1", 1, true, 4001), 5, Start);
+  Leaving.Announced.Leaving = true;
+  Leaving.Sequence = 8;
+  EXPECT_TRUE(Leases.targetHeard(Leaving, Commit));
+  target_status Late = report(testTarget("t1", 1, true, 4001), 5, Start);
+  Late.Sequence = 7;
+  EXPECT_FALSE(Leases.targetHeard(Late, Commit));
+  EXPECT_TRUE(Leases.findTarget("t1")->Announced.Leaving);
+  target_status Anew = report(testTarget("t1", 2, true, 4001), 5, Start);
+  Anew.Announced.OrderedByCall = true;
+  Anew.Sequence = 1;
+  EXPECT_TRUE(Leases.targetHeard(Anew, Commit));
+}
+
 struct successor_case {
   std::string Name;
   std::uint64_t Incarnation;
