Go on to another target where one cannot be reached, and to an owner that shed

Every attempt counted against the route's number of targets, also one that reached none.

Connections are given up after 200 ms.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -31,8 +31,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-//! A request that costs each target its process must not take a third one.
-constexpr unsigned MaxLostConnections = 2;
 constexpr auto LeasePollInterval = milliseconds(10);
 //! How long a caller that still sends is listened to after its answer; closing
 //! at once would reset the connection and take the answer away from it.
@@ -121,13 +119,13 @@
   try {
     co_await serve();
   } catch (const pomelo_error &Failure) {
-    Refusal = truthful(Failure);
+    Refusal = History.truthful(Failure);
   }
   if (Refusal)
     Record.failed(Refusal->kind());
   Record.close(Context.Metrics, Context.Spans);
   logOutcome(Refusal);
-  if (!MightHaveRun)
+  if (!History.mightHaveRun())
     Claim.notRun();
   if (CallerGone)
     closeCaller();
@@ -141,7 +139,7 @@
 //! One line tells what became of the request and by which state; those that
 //! went as usual are sampled by the caller's id, alike on every host.
 void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
-  const bool Usual = !Refusal && !CallerGone && Attempts <= 1;
+  const bool Usual = !Refusal && !CallerGone && History.sends() <= 1;
   if (Usual && !sampled(RequestId))
     return;
   const auto Now = steady_clock::now();
@@ -189,18 +187,6 @@
     Answered = co_await attempt();
 }
 
-//! What is true about all attempts together: a refusal after one that may have
-//! run must not say that nothing ran.
-pomelo_error exchange::truthful(const pomelo_error &Failure) const {
-  const bool SaysNotRun =
-      answerFor(Failure.kind()).RunState == run_state::NotRun;
-  if (!MightHaveRun || !SaysNotRun)
-    return Failure;
-  return pomelo_error(
-      error_kind::OutcomeUnknown,
-      fmt::format("an earlier attempt may have run; {}", Failure.what()));
-}
-
 asio::awaitable<void> exchange::continueIfExpected() {
   if (!http::token_list{Request.get()[http::field::expect]}.exists(
           "100-continue"))
@@ -243,7 +229,6 @@
 
 //! Makes one attempt; returns whether the request has been answered.
 asio::awaitable<bool> exchange::attempt() {
-  ++Attempts;
   LastBreak = attempt_break::None;
   LastProgress = attempt_progress::NothingSent;
   std::optional<pomelo_error> Failure;
@@ -251,6 +236,9 @@
   slot_owner Owner;
   try {
     Owner = co_await awaitTarget();
+    if (!History.mayGoTo(Owner.Target->Member.TargetId, Plan.Route.MaxTargets))
+      throw pomelo_error(error_kind::NoTarget,
+                         "the key has passed on to one target too many");
     const connection_need Need =
         Plan.Route.Idempotent ? connection_need::Any : connection_need::Proven;
     auto Connection = co_await connect(*Owner.Target, Need);
@@ -276,8 +264,10 @@
   try {
     co_return co_await Context.Pool.acquire(Target, Need, Plan.Deadline);
   } catch (const pomelo_error &Failure) {
-    if (Failure.kind() == error_kind::UpstreamFailed)
+    if (Failure.kind() == error_kind::UpstreamFailed) {
       Context.Sending.Book.unreachable(Target, steady_clock::now());
+      History.unreached();
+    }
     throw;
   }
 }
@@ -297,22 +287,18 @@
     noted_attempt(exchange &Exchange, const slot_owner &Owner,
                   target_dispatch &Dispatch)
         : Exchange(Exchange), Owner(Owner), Dispatch(Dispatch),
-          MightHaveRunBefore(Exchange.MightHaveRun),
           SentAt(steady_clock::now()) {
+      Exchange.History.sent(Owner.Target->Member.TargetId);
       Exchange.Context.Sending.Book.sent(*Owner.Target, SentAt);
     }
-    ~noted_attempt() {
-      Exchange.noteAttempt(Owner, Dispatch, MightHaveRunBefore, SentAt);
-    }
+    ~noted_attempt() { Exchange.noteAttempt(Owner, Dispatch, SentAt); }
     noted_attempt(const noted_attempt &) = delete;
     noted_attempt &operator=(const noted_attempt &) = delete;
     exchange &Exchange;
     const slot_owner &Owner;
     target_dispatch &Dispatch;
-    bool MightHaveRunBefore;
     steady_clock::time_point SentAt;
   } Noted(*this, Owner, Dispatch);
-  MightHaveRun = true;
   co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
   watchCaller();
   // A caller that goes away frees the target. A claimed request runs on to its
@@ -353,14 +339,11 @@
 
 void exchange::noteAttempt(const slot_owner &Owner,
                            const target_dispatch &Dispatch,
-                           bool MightHaveRunBefore,
                            steady_clock::time_point SentAt) {
   LastProgress = Dispatch.progress();
-  if (LastProgress == attempt_progress::NothingSent)
-    MightHaveRun = MightHaveRunBefore;
   LastBreak = Dispatch.ending();
-  if (LastBreak == attempt_break::ConnectionLost && !CallerGone)
-    ++LostConnections;
+  History.ended(LastProgress != attempt_progress::NothingSent,
+                LastBreak == attempt_break::ConnectionLost && !CallerGone);
   const auto Now = steady_clock::now();
   const send_end End = sendEndOf(Dispatch, CallerGone);
   Context.Sending.Book.ended(*Owner.Target, End, Now - SentAt, Now);
@@ -493,15 +476,15 @@
                             Report);
 }
 
+//! A second send to a target that is reached draws on the fleet's budget.
 bool exchange::mayTryAgain(error_kind Kind) {
-  if (Attempts >= Plan.Route.MaxTargets || steady_clock::now() >= Plan.Deadline)
-    return false;
-  if (Body.consumed() || LostConnections >= MaxLostConnections)
+  const send_terms Terms{Plan.Route.MaxTargets, Plan.Route.Idempotent,
+                         Plan.Key.has_value()};
+  if (Body.consumed() || steady_clock::now() >= Plan.Deadline ||
+      !History.mayTryAgain(Kind, Terms))
     return false;
-  const bool Safe =
-      Kind == error_kind::UpstreamFailed ||
-      (Kind == error_kind::OutcomeUnknown && Plan.Route.Idempotent);
-  return Safe && Context.Retries.spend(Plan.Service, View->EntryHosts);
+  return History.sends() == 0 ||
+         Context.Retries.spend(Plan.Service, View->EntryHosts);
 }
 
 asio::awaitable<void> exchange::relayAnswer(upstream_loan &Connection,
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -11,6 +11,7 @@
 #include "pomeloswitch/http/target_dispatch.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/retry/claimed_run.hpp"
+#include "pomeloswitch/sending/send_history.hpp"
 #include "pomeloswitch/sending/target_wait.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -61,10 +62,8 @@
   boost::asio::awaitable<void> relayAnswer(upstream_loan &Connection,
                                            target_dispatch &Dispatch);
   void noteAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
-                   bool MightHaveRunBefore,
                    std::chrono::steady_clock::time_point SentAt);
   boost::asio::awaitable<void> investigate(routing_target_ptr Target);
-  [[nodiscard]] pomelo_error truthful(const pomelo_error &Failure) const;
   [[nodiscard]] bool mayTryAgain(error_kind Kind);
   boost::asio::awaitable<void> writeError(const pomelo_error &Refusal);
   boost::asio::awaitable<void> writeWhole(text_response Response);
@@ -79,15 +78,13 @@
   caller_body Body;
   request_record Record;
   claimed_run Claim;
-  bool MightHaveRun = false; //!< In any attempt so far.
+  send_history History;
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_break LastBreak = attempt_break::None;
   std::optional<std::uint32_t> Slot; //!< Of the key, once it was looked up.
-  unsigned Attempts = 0;
-  boost::json::array Tries; //!< What became of each send, for the log.
+  boost::json::array Tries;          //!< What became of each send, for the log.
   std::chrono::steady_clock::time_point Began =
       std::chrono::steady_clock::now();
-  unsigned LostConnections = 0; //!< Attempts that a target broke off.
   std::vector<std::string> TriedTargets;
   bool CallerKeepAlive = true;
   bool CallerGone = false;
--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -15,7 +15,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto ConnectTimeout = std::chrono::milliseconds(200);
 constexpr auto ProvenFor = std::chrono::milliseconds(500);
 
 //! Whether the peer has neither closed the connection nor sent unasked bytes,
