Count leases by a clock that goes on while the machine is suspended

Cause: the entry hosts' right to route and the leader's confirmation were counted by steady_clock, which stands still on a suspended machine; a host that wakes would still have believed in what had run out at the others.

Change: clock/lease_clock (CLOCK_BOOTTIME) as a type of its own, so that it cannot be mixed up, for raft's times and the right to route.

--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -185,7 +185,7 @@
   const auto Sent = SentAt.find(Ack.sequence());
   if (Sent == SentAt.end())
     return;
-  const steady_time Until = Sent->second + milliseconds(Ack.lease_ms());
+  const lease_time Until = Sent->second + milliseconds(Ack.lease_ms());
   SentAt.erase(SentAt.begin(), std::next(Sent));
   LastAck = steady_clock::now();
   Leader = &Host;
@@ -277,7 +277,7 @@
   Callbacks.AddQuota(*Beat);
   Callbacks.AddLoads(*Beat);
   const steady_time Now = steady_clock::now();
-  SentAt[Beat->sequence()] = Now;
+  SentAt[Beat->sequence()] = lease_clock::now();
   if (SentAt.size() > MaxUnacknowledged)
     SentAt.erase(SentAt.begin());
   const bool LeaderKnown = Leader && Now - LastAck < LeaderSilence;
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -51,9 +51,9 @@
     //! Adds the load reports that are new since the last heartbeat.
     std::function<void(wire::heartbeat &)> AddLoads;
     //! What the leader granted counts until the time given.
-    std::function<void(const wire::heartbeat_ack &, steady_time)> OnQuota;
+    std::function<void(const wire::heartbeat_ack &, lease_time)> OnQuota;
     //! The host may route until then by the state given last.
-    std::function<void(steady_time Until)> OnLease;
+    std::function<void(lease_time Until)> OnLease;
     //! A heartbeat's reports have been recorded by the leader.
     std::function<void(const wire::heartbeat_ack &)> OnAck;
   };
@@ -111,11 +111,11 @@
   boost::asio::steady_timer BeatTimer;
   steady_time BeatDue{};
   std::uint64_t NextSequence = 1;
-  std::map<std::uint64_t, steady_time> SentAt;
+  std::map<std::uint64_t, lease_time> SentAt;
   steady_time LastAck{};
   // The lease that counts once the state has reached its commit index.
   std::uint64_t LeaseIndex = 0;
-  steady_time LeaseUntil{};
+  lease_time LeaseUntil{};
   std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
   proposal_table Proposals;
   boost::asio::steady_timer ProposalTimer;
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -105,7 +105,7 @@
   Callbacks.OnState = [this](const cluster_state &State) { onState(State); };
   Callbacks.Adopted = [this] { return adopted(); };
   Callbacks.QuiescedIndex = [this] { return quiescedIndex(); };
-  Callbacks.OnLease = [this](steady_time Until) {
+  Callbacks.OnLease = [this](lease_time Until) {
     Authority.extendTo(Until);
     for (const auto &Thread : Threads)
       Thread->extendAuthority(Until);
@@ -117,9 +117,8 @@
     encode(Quota.report(steady_clock::now()), *Beat.mutable_quota());
   };
   Callbacks.AddLoads = [this](wire::heartbeat &Beat) { addLoads(Beat); };
-  Callbacks.OnQuota = [this](const wire::heartbeat_ack &Ack,
-                             steady_time Until) {
-    if (Quota.apply(Ack.sequence(), decode(Ack.quota()), Until,
+  Callbacks.OnQuota = [this](const wire::heartbeat_ack &Ack, lease_time Until) {
+    if (Quota.apply(Ack.sequence(), decode(Ack.quota()), toSteady(Until),
                     steady_clock::now()))
       Session->hurry();
   };
@@ -168,7 +167,7 @@
   if (Request.target() == ReadinessPath) {
     if (Stopping)
       throw pomelo_error(error_kind::Draining, "this entry host is stopping");
-    if (!Authority.valid(steady_clock::now()))
+    if (!Authority.valid())
       throw pomelo_error(error_kind::NotAuthoritative,
                          "no lease from the control group");
     co_return makeJsonResponse(R"({"ready":true})", Request.version());
@@ -195,8 +194,7 @@
   }
   All.setGauge("pomelo_state_index", {},
                static_cast<double>(Session->state().index()));
-  const std::chrono::duration<double> LeaseLeft =
-      Authority.validUntil() - steady_clock::now();
+  const std::chrono::duration<double> LeaseLeft = Authority.left();
   All.setGauge("pomelo_lease_seconds", {}, std::max(0.0, LeaseLeft.count()));
   All.setGauge("pomelo_spans_dropped", {},
                static_cast<double>(Spans.dropped()));
@@ -305,7 +303,7 @@
       {"ops_address", toString(OpsServer->address())},
       {"index", Session->state().index()},
       {"version", Session->state().configVersion()},
-      {"may_route", Authority.valid(steady_clock::now())},
+      {"may_route", Authority.valid()},
       {"stopping", Stopping}};
   return boost::json::serialize(Description);
 }
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -57,7 +57,7 @@
   });
 }
 
-void traffic_thread::extendAuthority(steady_time Until) {
+void traffic_thread::extendAuthority(lease_time Until) {
   boost::asio::post(Io, [this, Until] { Authority.extendTo(Until); });
 }
 
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -39,7 +39,7 @@
 
   //! Any thread: may route until then. Takes effect after every view that was
   //! adopted before, so the right never comes with an older view.
-  void extendAuthority(steady_time Until);
+  void extendAuthority(lease_time Until);
 
   //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
   //! once the last open request has been answered.
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -150,7 +150,7 @@
       {"account", Plan.Account},
       {"config", View->ConfigNumber},
       {"index", View->Index},
-      {"lease_left_ms", millisecondsOf(Context.Authority.validUntil() - Now)},
+      {"lease_left_ms", millisecondsOf(Context.Authority.left())},
       {"took_ms", millisecondsOf(Now - Began)},
       {"attempts", Tries}};
   if (Slot)
@@ -364,9 +364,8 @@
   asio::steady_timer Timer(Context.Io);
   const auto GiveUp =
       std::min(Plan.Deadline, steady_clock::now() + MaxLeaseWait);
-  for (auto Now = steady_clock::now(); !Context.Authority.valid(Now);
-       Now = steady_clock::now()) {
-    if (Now >= GiveUp)
+  while (!Context.Authority.valid()) {
+    if (steady_clock::now() >= GiveUp)
       throw pomelo_error(error_kind::NotAuthoritative, LostTouch);
     Timer.expires_after(LeasePollInterval);
     co_await Timer.async_wait(asio::use_awaitable);
@@ -386,7 +385,7 @@
     checkCallerWaits();
     View = Context.View;
     const auto Now = steady_clock::now();
-    const auto Owner = Wait.decide(*View, Context.Authority.valid(Now), Now);
+    const auto Owner = Wait.decide(*View, Context.Authority.valid(), Now);
     Slot = Wait.slot();
     if (Owner) {
       TriedTargets.push_back(Owner->Target->Member.TargetId);
@@ -417,10 +416,10 @@
     throw pomelo_error(error_kind::DeadlineExceeded,
                        "the deadline passed before the request was sent");
   const bool Open = Plan.Route.Access == route_access::Open;
-  auto Until = Context.Authority.validUntil();
+  auto Left = Context.Authority.left();
   if (Open && !Plan.Key)
-    Until += milliseconds(View->Rules->OpenIsolationMs);
-  if (Now >= Until)
+    Left += milliseconds(View->Rules->OpenIsolationMs);
+  if (Left.count() <= 0)
     throw pomelo_error(error_kind::NotAuthoritative, LostTouch);
   // The key may have been withdrawn while the body or a connection was
   // awaited.
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -3,6 +3,7 @@
 #define POMELOSWITCH_HTTP_TRAFFIC_CONTEXT_HPP
 
 #include "pomeloswitch/admission/host_quota.hpp"
+#include "pomeloswitch/clock/lease_clock.hpp"
 #include "pomeloswitch/http/flight_table.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
@@ -28,18 +29,20 @@
 //! by the control thread, read by traffic threads right before they send.
 class authority {
 public:
-  void extendTo(steady_time Until) {
+  void extendTo(lease_time Until) {
     ValidUntil.store(Until.time_since_epoch().count(),
                      std::memory_order_release);
   }
-  [[nodiscard]] steady_time validUntil() const {
-    return steady_time(
-        steady_time::duration(ValidUntil.load(std::memory_order_acquire)));
+  //! Time until it ends; negative once it has.
+  [[nodiscard]] lease_time::duration left() const {
+    const lease_time Until(
+        lease_time::duration(ValidUntil.load(std::memory_order_acquire)));
+    return Until - lease_clock::now();
   }
-  [[nodiscard]] bool valid(steady_time Now) const { return Now < validUntil(); }
+  [[nodiscard]] bool valid() const { return left().count() > 0; }
 
 private:
-  std::atomic<steady_time::rep> ValidUntil{0};
+  std::atomic<lease_time::rep> ValidUntil{0};
 };
 
 //! Belongs to one traffic thread; nothing here is locked.
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds TickInterval{10};
 constexpr milliseconds FoundingInterval{100};
@@ -29,7 +28,7 @@
 raft_log::raft_log(boost::asio::io_context &Io, options GivenOptions,
                    std::unique_ptr<log_storage> Storage)
     : Io(Io), Options(std::move(GivenOptions)), Random(std::random_device()()),
-      Core(coreOptions(Options, Random), Storage->load(), steady_clock::now()),
+      Core(coreOptions(Options, Random), Storage->load(), lease_clock::now()),
       Founding(Options.HostId, Options.Members),
       Network(Io, Options.HostId, Options.Secret,
               [this](const wire::raft_message &Message) { receive(Message); }),
@@ -81,7 +80,7 @@
   if (Message.has_found_answer())
     return Founding.answered(Message);
   try {
-    Core.receive(Message, steady_clock::now());
+    Core.receive(Message, lease_clock::now());
   } catch (const pomelo_error &Failure) {
     return fail(Failure.what());
   }
@@ -97,7 +96,7 @@
   Answer.set_from_replica(Core.identity().replica_id());
   Answer.set_to_host(Message.from_host());
   Answer.mutable_found_answer()->set_blank(Core.blank());
-  Network.send(Answer, steady_clock::now());
+  Network.send(Answer, lease_clock::now());
 }
 
 void raft_log::askFoundingMembers(raft_time Now) {
@@ -123,7 +122,7 @@
   Ticker.async_wait([this](boost::system::error_code Error) {
     if (Error || Stopped || Failed)
       return;
-    const raft_time Now = steady_clock::now();
+    const raft_time Now = lease_clock::now();
     askFoundingMembers(Now);
     Network.tick(Now);
     Core.tick(Now);
@@ -146,7 +145,7 @@
 void raft_log::pump() {
   if (Failed || Stopped)
     return;
-  const raft_time Now = steady_clock::now();
+  const raft_time Now = lease_clock::now();
   sendAll(Core.takeMessages(Now), Now);
   writeNext(Now);
   applyCommitted();
@@ -176,7 +175,7 @@
     return;
   if (Failure)
     return fail(*Failure);
-  const raft_time Now = steady_clock::now();
+  const raft_time Now = lease_clock::now();
   Core.synced(Batch, Now);
   sendAll(Batch.SendAfter, Now);
   pump();
@@ -262,7 +261,7 @@
 
 bool raft_log::leadershipConfirmed() const {
   return Leading && !Failed && LedTerm == Core.term() &&
-         Core.leadershipConfirmed(steady_clock::now());
+         Core.leadershipConfirmed(lease_clock::now());
 }
 
 std::string raft_log::leaderId() const {
--- a/src/pomeloswitch/raft/raft_types.hpp
+++ b/src/pomeloswitch/raft/raft_types.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_RAFT_RAFT_TYPES_HPP
 #define POMELOSWITCH_RAFT_RAFT_TYPES_HPP
 
+#include "pomeloswitch/clock/lease_clock.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <chrono>
@@ -13,7 +14,7 @@
 
 namespace pomelo {
 
-using raft_time = std::chrono::steady_clock::time_point;
+using raft_time = lease_time;
 
 struct raft_times {
   std::chrono::milliseconds Heartbeat{75};
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -61,8 +61,7 @@
       : Key(mintAccountKey(Secret, "1")),
         Context(Io, Authority, Quota, Secret, "a", Dialect),
         Server(Context, {boost::asio::ip::address_v4::loopback(), 0}, {}) {
-    Authority.extendTo(std::chrono::steady_clock::now() +
-                       std::chrono::hours(1));
+    Authority.extendTo(lease_clock::now() + std::chrono::hours(1));
     const auto Now = std::chrono::steady_clock::now();
     Quota.bucket("large");
     Quota.apply(1, {1, 1, false, {{"large", 1, 1000, 100, 1000, 0, false}}},
