Fill a new leader's buckets from the beginning of its term

A ledger that was made during a takeover lost the time since the term began: its rate was still 0 when it was brought up to date.

Change: a ledger gets its rate before it is brought up to date. The test fails without that (0 of 25 served).

--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -20,10 +20,16 @@
 
 void rate_ledger::configure(std::span<const client_account> Accounts,
                             std::size_t HostCount, mono_time Now) {
-  for (const client_account &Account : Accounts)
-    Ledgers.try_emplace(Account.Name, TakeoverDone ? Now : TermBegan)
-        .first->second.configure(Account.RatePerSecond, Account.Burst,
-                                 HostCount, Now);
+  // An account that is met during the takeover was there before the term.
+  const mono_time KnownSince = TakeoverDone ? Now : TermBegan;
+  for (const client_account &Account : Accounts) {
+    const auto [Entry, New] = Ledgers.try_emplace(Account.Name, KnownSince);
+    account_ledger &Ledger = Entry->second;
+    if (New)
+      Ledger.configure(Account.RatePerSecond, Account.Burst, HostCount,
+                       KnownSince);
+    Ledger.configure(Account.RatePerSecond, Account.Burst, HostCount, Now);
+  }
   // What hosts hold of a removed account counts on, should it come back.
   for (auto Entry = Ledgers.begin(); Entry != Ledgers.end();) {
     auto &[Name, Ledger] = *Entry;
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -225,6 +225,29 @@
   EXPECT_LE(Ledger.find("acc")->stored(), 1);
 }
 
+//! After a loss of all processes hosts report for the first time only when
+//! their predecessors' leases have ended.
+TEST_F(quota_rules, bucket_fills_from_the_beginning_of_the_term) {
+  constexpr double SmallRate = 30;
+  const std::vector<client_account> Accounts{{"acc", SmallRate, SmallRate}};
+  host_quota Fresh{[] {}};
+  Registered = {{"new", {"new", 1, "d"}}, {"late", {"late", 1, "d"}}};
+  Ledger.startTerm(2, Now);
+  Now += Surely + milliseconds(100);
+  for (unsigned Number = 0; Number < 25; ++Number) {
+    Fresh.bucket("acc").admitArrival(Now);
+    EXPECT_TRUE(Fresh.bucket("acc").beginWait(Now, milliseconds(100)));
+  }
+  for (unsigned Round = 0; Round < 2; ++Round) {
+    const quota_report Report = reportOf(Fresh);
+    const auto Grant =
+        Ledger.answer({"new", 1}, Report, Accounts, Registered, Now);
+    ASSERT_TRUE(Grant);
+    Fresh.apply(Report.Sequence, *Grant, Now + Lease, Now);
+  }
+  EXPECT_GE(drain(Fresh), 25U);
+}
+
 TEST_F(quota_rules, new_leader_does_not_wait_for_a_lost_host_for_ever) {
   occupy("a", A);
   Ledger.startTerm(2, Now);
