--- a/src/pomeloswitch/clock/lease_clock.hpp
+++ b/src/pomeloswitch/clock/lease_clock.hpp
@@ -13,7 +13,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<lease_clock>;
-  static constexpr bool is_steady = true;
+  // The library's clocks are asked by this name.
+  static constexpr bool is_steady = true; // NOLINT(*-identifier-naming)
 
   static time_point now() noexcept;
 };
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -52,13 +52,8 @@
                   std::string FailureDomain, const target_dialect &Dialect,
                   retry_limits Retries = {})
       : Io(Io), Authority(Authority), Quota(Quota), Dialect(Dialect),
-        ClusterSecret(std::move(ClusterSecret)),
-        Pool(Io.get_executor()), Sending{std::move(FailureDomain),
-                                         random_engine(std::random_device()()),
-                                         {},
-                                         {},
-                                         {},
-                                         {}},
+        ClusterSecret(std::move(ClusterSecret)), Pool(Io.get_executor()),
+        Sending(std::move(FailureDomain), std::random_device()()),
         Retries(Retries) {}
 
   boost::asio::io_context &Io;
--- a/src/pomeloswitch/sending/send_state.hpp
+++ b/src/pomeloswitch/sending/send_state.hpp
@@ -8,11 +8,16 @@
 #include "pomeloswitch/routing/target_choice.hpp"
 #include "pomeloswitch/routing/wait_ranks.hpp"
 
+#include <cstdint>
 #include <string>
+#include <utility>
 
 namespace pomelo {
 
 struct send_state {
+  explicit send_state(std::string FailureDomain = {}, std::uint64_t Seed = 0)
+      : FailureDomain(std::move(FailureDomain)), Random(Seed) {}
+
   std::string FailureDomain; //!< Of this entry host.
   random_engine Random;
   target_book Book;
