--- a/src/pomeloswitch/cli/request_story.cpp
+++ b/src/pomeloswitch/cli/request_story.cpp
@@ -201,6 +201,7 @@
                      return Left.TimeMs < Right.TimeMs;
                    });
   std::vector<story_line> Lines;
+  Lines.reserve(Chosen.size());
   for (const entry &Entry : Chosen)
     Lines.push_back({Entry.TimeMs, Entry.Process, describe(parse(Entry.Json))});
   return Lines;
--- a/tests/cli/request_story_test.cpp
+++ b/tests/cli/request_story_test.cpp
@@ -35,6 +35,7 @@
 TEST(request_story, tells_what_its_slot_and_targets_went_through_in_order) {
   const auto Lines = storyOf("r1", EntryLog, ControlLog).lines();
   std::vector<long long> Times;
+  Times.reserve(Lines.size());
   for (const story_line &Line : Lines)
     Times.push_back(Line.TimeMs);
   EXPECT_EQ(Times, (std::vector<long long>{9800, 9950, 10000, 10500, 10600}));
