Bound attempts that end before anything is sent

Change: every attempt without a send counts, not only an unreachable target's; the bound is the same four.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -231,6 +231,7 @@
 asio::awaitable<bool> exchange::attempt() {
   LastBreak = attempt_break::None;
   LastProgress = attempt_progress::NothingSent;
+  const unsigned SendsBefore = History.sends();
   std::optional<pomelo_error> Failure;
   flight_table::flight Flight;
   slot_owner Owner;
@@ -248,6 +249,8 @@
   } catch (const pomelo_error &Caught) {
     Failure = Caught;
   }
+  if (History.sends() == SendsBefore)
+    History.unsent();
   if (LastProgress == attempt_progress::NothingSent)
     Flight.settled();
   if (CallerGone)
@@ -264,10 +267,8 @@
   try {
     co_return co_await Context.Pool.acquire(Target, Need, Plan.Deadline);
   } catch (const pomelo_error &Failure) {
-    if (Failure.kind() == error_kind::UpstreamFailed) {
+    if (Failure.kind() == error_kind::UpstreamFailed)
       Context.Sending.Book.unreachable(Target, steady_clock::now());
-      History.unreached();
-    }
     throw;
   }
 }
--- a/src/pomeloswitch/sending/send_history.cpp
+++ b/src/pomeloswitch/sending/send_history.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned MaxLostConnections = 2;
 //! Sends of one request, those that targets did not run included.
 constexpr unsigned MaxSends = 4;
-constexpr unsigned MaxUnreached = 4;
+constexpr unsigned MaxUnsent = 4;
 
 } // namespace
 
@@ -39,7 +39,7 @@
 
 bool send_history::mayTryAgain(error_kind Kind, const send_terms &Terms) const {
   if (LostConnections >= MaxLostConnections || Sends >= MaxSends ||
-      Unreached >= MaxUnreached)
+      Unsent >= MaxUnsent)
     return false;
   // Without a key it would go to another target each time.
   if (!Terms.KeyBound && Targets.size() >= Terms.MaxTargets)
--- a/src/pomeloswitch/sending/send_history.hpp
+++ b/src/pomeloswitch/sending/send_history.hpp
@@ -18,7 +18,8 @@
 };
 
 //! A request goes to few targets, and again to one that did not run it. Targets
-//! that could not be reached do not count as such.
+//! that nothing was sent to, since they could not be reached or had to be left
+//! at the last moment, do not count as such.
 class send_history {
 public:
   //! Bytes of the request are about to go to \p TargetId.
@@ -26,8 +27,8 @@
   //! How the latest send ended. \p MightHaveRun is false only if the target
   //! surely did not run it and will not.
   void ended(bool MightHaveRun, bool ConnectionLost);
-  //! No connection to a target could be made.
-  void unreached() { ++Unreached; }
+  //! An attempt ended before anything was sent.
+  void unsent() { ++Unsent; }
 
   [[nodiscard]] unsigned sends() const { return Sends; }
   //! In any send so far.
@@ -48,7 +49,7 @@
 
   std::vector<std::string> Targets; //!< That got it, each once.
   unsigned Sends = 0;
-  unsigned Unreached = 0;
+  unsigned Unsent = 0;
   unsigned LostConnections = 0; //!< Sends that a target broke off.
   bool Ran = false;
   bool RanBefore = false; //!< The same before the latest send.
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -184,6 +184,18 @@
   boost::asio::ip::tcp::socket Socket;
 };
 
+TEST(exchange, gives_up_soon_where_the_owner_of_a_key_has_crashed) {
+  scripted_target Target(
+      [](connection &Connection, unsigned) { Connection.awaitEnd(); });
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.reportCrash();
+  const auto Began = std::chrono::steady_clock::now();
+  const auto Answer = Traffic.call("GET", "/keyed?key=1");
+  EXPECT_EQ(Answer.Status, 502);
+  EXPECT_LT(std::chrono::steady_clock::now() - Began,
+            std::chrono::milliseconds(400));
+}
+
 TEST(exchange, closes_the_targets_connection_when_the_caller_leaves) {
   std::atomic<bool> Arrived = false;
   std::atomic<bool> Ended = false;
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/http/caller_server.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
+#include "pomeloswitch_wire/inner.pb.h"
 #include "scripted_target.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -52,7 +53,8 @@
   std::vector<std::string> Ends;
 };
 
-//! Routes /idempotent and /once, open to all, and /claimed for an account.
+//! Routes /idempotent, /once and /keyed, open to all, and /claimed for an
+//! account. All keys belong to the first target.
 class traffic_fixture {
 public:
   //! The service has \p Members targets, all of them at \p Address.
@@ -85,6 +87,19 @@
                                       Body,
                                       std::chrono::seconds(5)});
   }
+  //! Makes it known that the process of the first target has crashed.
+  void reportCrash() {
+    wire::report_crash Report;
+    Report.set_fingerprint("0123456789abcdef");
+    Report.set_target_id("t0");
+    auto Crashes = std::make_shared<crash_table>();
+    Crashes->report(Report, 1);
+    boost::asio::post(Io, [this, Crashes] {
+      auto View = std::make_shared<routing_view>(*Context.View);
+      View->Crashes = Crashes;
+      Context.View = View;
+    });
+  }
   //! Has the caller server begin to stop on its thread, once \p Ready holds;
   //! until then the thread reads nothing.
   void beginStopOnce(std::function<bool()> Ready) {
@@ -107,6 +122,9 @@
      "access": "open", "idempotent": true, "deadline_ms": 800},
     {"name": "once", "path_prefix": "/once", "service": "s",
      "access": "open", "deadline_ms": 800},
+    {"name": "keyed", "path_prefix": "/keyed", "service": "k",
+     "access": "open", "idempotent": true, "deadline_ms": 800,
+     "key": {"from": "query", "name": "key"}},
     {"name": "claimed", "path_prefix": "/claimed", "service": "s",
      "deadline_ms": 2000}]})";
 
@@ -125,6 +143,10 @@
       View->Targets[Target->Member.TargetId] = Target;
       Service.Targets.push_back(Target);
     }
+    owned_slot Slot;
+    Slot.Owner = "t0";
+    Slot.Phase = slot_phase::Active;
+    View->Services["k"].Slots = std::make_shared<slot_table>(1, Slot);
     return View;
   }
 
--- a/tests/sending/send_history_test.cpp
+++ b/tests/sending/send_history_test.cpp
@@ -8,7 +8,7 @@
 namespace pomelo {
 namespace {
 
-enum class how { NotRun, MayHaveRun, Lost, Unreached };
+enum class how { NotRun, MayHaveRun, Lost, Unsent };
 
 struct past_send {
   std::string Target;
@@ -28,8 +28,8 @@
 TEST_P(sent_before, decides_whether_it_may_be_sent_again) {
   send_history History;
   for (const past_send &Send : GetParam().Sends) {
-    if (Send.How == how::Unreached) {
-      History.unreached();
+    if (Send.How == how::Unsent) {
+      History.unsent();
       continue;
     }
     History.sent(Send.Target);
@@ -58,12 +58,11 @@
                      Failed,
                      Often,
                      false},
-        history_case{
-            "unreached_ones_do_not_count",
-            {{"", how::Unreached}, {"", how::Unreached}, {"a", how::NotRun}},
-            Failed,
-            Once,
-            true},
+        history_case{"unsent_ones_do_not_count",
+                     {{"", how::Unsent}, {"", how::Unsent}, {"a", how::NotRun}},
+                     Failed,
+                     Once,
+                     true},
         history_case{
             "the_owner_again",
             {{"a", how::NotRun}, {"a", how::NotRun}, {"a", how::NotRun}},
@@ -78,6 +77,14 @@
                      Failed,
                      KeyedOnce,
                      false},
+        history_case{"unsent_not_for_ever",
+                     {{"", how::Unsent},
+                      {"", how::Unsent},
+                      {"", how::Unsent},
+                      {"", how::Unsent}},
+                     Failed,
+                     KeyedOnce,
+                     false},
         history_case{"two_crashes",
                      {{"a", how::Lost}, {"b", how::Lost}},
                      Unknown,
