Say each thing once: accepting, reading a story, filling a ledger

- caller_server and simple_server accepted with the same pause, one of them without a line in the log: http/accept_next serves both.
- A story parsed each line again for each question; lines are kept parsed, and what names the request is collected once.
Slots that are no numbers are passed over instead of ending the program.
The usage lists its options together.
- A ledger is made with its rate and burst instead of being configured twice.
- The leader's confirmation is asked only for changes that are logged, not for each claim.

--- a/src/pomeloswitch/admission/account_ledger.hpp
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -24,8 +24,9 @@
 //! Not thread-safe.
 class account_ledger {
 public:
-  //! The central bucket begins empty.
-  explicit account_ledger(mono_time Now) : FilledAt(Now) {}
+  //! The central bucket begins empty; \p Rate fills it up to \p Burst.
+  account_ledger(double Rate, double Burst, mono_time Now)
+      : Rate(Rate), Burst(Burst), FilledAt(Now) {}
 
   //! Takes on the account's configured rate and burst, and how many entry
   //! hosts may use it.
--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -23,12 +23,9 @@
   // An account that is met during the takeover was there before the term.
   const mono_time KnownSince = TakeoverDone ? Now : TermBegan;
   for (const client_account &Account : Accounts) {
-    const auto [Entry, New] = Ledgers.try_emplace(Account.Name, KnownSince);
-    account_ledger &Ledger = Entry->second;
-    if (New)
-      Ledger.configure(Account.RatePerSecond, Account.Burst, HostCount,
-                       KnownSince);
-    Ledger.configure(Account.RatePerSecond, Account.Burst, HostCount, Now);
+    const double Rate = Account.RatePerSecond;
+    Ledgers.try_emplace(Account.Name, Rate, Account.Burst, KnownSince)
+        .first->second.configure(Rate, Account.Burst, HostCount, Now);
   }
   // What hosts hold of a removed account counts on, should it come back.
   for (auto Entry = Ledgers.begin(); Entry != Ledgers.end();) {
--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -64,10 +64,10 @@
                        every entry host.
   --json               Print the answer as JSON.
   -h --help            Show this text.
+  --version            Show the version.
 
 story tells from the logs of several processes what became of one request;
 REQUEST is the id that its caller sent.
-  --version            Show the version.
 
 Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
 change; 4 version conflict; 5 not the leader; 6 no quorum, outcome unknown;
--- a/src/pomeloswitch/cli/request_story.cpp
+++ b/src/pomeloswitch/cli/request_story.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <optional>
 #include <set>
+#include <system_error>
 
 namespace pomelo {
 namespace {
@@ -51,10 +54,6 @@
   return Value && Value->is_number() ? Value->to_number<long long>() : 0;
 }
 
-json::object parse(const std::string &Text) {
-  return json::parse(Text).as_object();
-}
-
 //! What the log's own library writes where a full queue lost lines.
 bool tellsOfDropped(const json::object &Object) {
   return textOf(Object, "message").starts_with("Discarded");
@@ -74,17 +73,26 @@
   return Text;
 }
 
+//! The number that \p Text is; none if it is another text.
+std::optional<std::uint64_t> numberOf(std::string_view Text) {
+  std::uint64_t Number = 0;
+  const char *const End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Number);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Number;
+}
+
 bool rangesHold(std::string_view Ranges, std::uint64_t Slot) {
   while (!Ranges.empty()) {
     const std::string_view Range = Ranges.substr(0, Ranges.find(','));
     Ranges.remove_prefix(std::min(Ranges.size(), Range.size() + 1));
     const auto Dash = Range.find('-');
-    const std::uint64_t First = std::stoull(std::string(Range.substr(0, Dash)));
-    const std::uint64_t Last =
-        Dash == std::string_view::npos
-            ? First
-            : std::stoull(std::string(Range.substr(Dash + 1)));
-    if (First <= Slot && Slot <= Last)
+    const auto First = numberOf(Range.substr(0, Dash));
+    const auto Last = Dash == std::string_view::npos
+                          ? First
+                          : numberOf(Range.substr(Dash + 1));
+    if (First && Last && *First <= Slot && Slot <= *Last)
       return true;
   }
   return false;
@@ -145,16 +153,16 @@
 
 void request_story::readLine(const std::string &Line,
                              const std::string &Process, std::size_t Number) {
-  const auto Start = Line.find('{');
-  json::object Object;
-  try {
-    Object = parse(Line.substr(std::min(Start, Line.size())));
-  } catch (const std::exception &) {
+  const auto Start = std::min(Line.find('{'), Line.size());
+  boost::system::error_code Error;
+  json::value Parsed = json::parse(Line.substr(Start), Error);
+  if (Error || !Parsed.is_object()) {
     Unreadable.push_back(fmt::format("{}:{}", Process, Number));
     return;
   }
   entry Entry;
-  Entry.TimeMs = numberOf(Object, "time_ms");
+  Entry.Fields = std::move(Parsed.as_object());
+  Entry.TimeMs = numberOf(Entry.Fields, "time_ms");
   Entry.Process = Process;
   const std::string_view Prefix = std::string_view(Line).substr(0, Start);
   if (const auto End = Prefix.find_last_not_of(' ');
@@ -163,64 +171,57 @@
     const auto First = Space == std::string_view::npos ? 0 : Space + 1;
     Entry.Process = Prefix.substr(First, End + 1 - First);
   }
-  Entry.Json = Line.substr(Start);
-  if (textOf(Object, "request") == Id)
+  if (textOf(Entry.Fields, "request") == Id)
     Own.push_back(std::move(Entry));
-  else if (!Object.contains("request"))
+  else if (!Entry.Fields.contains("request"))
     Others.push_back(std::move(Entry));
 }
 
 bool request_story::around(long long TimeMs) const {
   return std::any_of(Own.begin(), Own.end(), [&](const entry &Entry) {
-    const long long Took = numberOf(parse(Entry.Json), "took_ms");
+    const long long Took = numberOf(Entry.Fields, "took_ms");
     return Entry.TimeMs - Took - BeforeMs <= TimeMs &&
            TimeMs <= Entry.TimeMs + AfterMs;
   });
 }
 
-bool request_story::concerns(const entry &Entry) const {
-  const json::object Object = parse(Entry.Json);
-  if (!around(Entry.TimeMs))
-    return false;
+std::vector<story_line> request_story::lines() const {
   places Places;
-  bool SameProcess = false;
-  for (const auto &Each : Own) {
-    Places.add(parse(Each.Json));
-    SameProcess |= Each.Process == Entry.Process;
+  std::set<std::string> Processes;
+  std::vector<const entry *> Chosen;
+  for (const entry &Entry : Own) {
+    Places.add(Entry.Fields);
+    Processes.insert(Entry.Process);
+    Chosen.push_back(&Entry);
   }
-  return SameProcess || concernsAll(Object) || Places.namedBy(Object);
-}
-
-std::vector<story_line> request_story::lines() const {
-  std::vector<entry> Chosen = Own;
   for (const entry &Entry : Others)
-    if (concerns(Entry))
-      Chosen.push_back(Entry);
+    if (around(Entry.TimeMs) &&
+        (Processes.contains(Entry.Process) || concernsAll(Entry.Fields) ||
+         Places.namedBy(Entry.Fields)))
+      Chosen.push_back(&Entry);
   std::stable_sort(Chosen.begin(), Chosen.end(),
-                   [](const entry &Left, const entry &Right) {
-                     return Left.TimeMs < Right.TimeMs;
+                   [](const entry *Left, const entry *Right) {
+                     return Left->TimeMs < Right->TimeMs;
                    });
   std::vector<story_line> Lines;
   Lines.reserve(Chosen.size());
-  for (const entry &Entry : Chosen)
-    Lines.push_back({Entry.TimeMs, Entry.Process, describe(parse(Entry.Json))});
+  for (const entry *Entry : Chosen)
+    Lines.push_back({Entry->TimeMs, Entry->Process, describe(Entry->Fields)});
   return Lines;
 }
 
 std::vector<story_line> request_story::dropped() const {
   std::vector<story_line> Lines;
   for (const entry &Entry : Others)
-    if (const json::object Object = parse(Entry.Json);
-        tellsOfDropped(Object) && around(Entry.TimeMs))
-      Lines.push_back({Entry.TimeMs, Entry.Process, describe(Object)});
+    if (tellsOfDropped(Entry.Fields) && around(Entry.TimeMs))
+      Lines.push_back({Entry.TimeMs, Entry.Process, describe(Entry.Fields)});
   return Lines;
 }
 
 std::string request_story::conclusion() const {
   if (Own.empty())
     return "no line names the request";
-  const json::object Last = parse(Own.back().Json);
-  const std::string Error = textOf(Last, "error");
+  const std::string Error = textOf(Own.back().Fields, "error");
   if (Error.empty())
     return "it was answered";
   const auto Found = std::find_if(
--- a/src/pomeloswitch/cli/request_story.hpp
+++ b/src/pomeloswitch/cli/request_story.hpp
@@ -2,6 +2,8 @@
 #ifndef POMELOSWITCH_CLI_REQUEST_STORY_HPP
 #define POMELOSWITCH_CLI_REQUEST_STORY_HPP
 
+#include <boost/json/object.hpp>
+
 #include <cstddef>
 #include <istream>
 #include <string>
@@ -42,18 +44,15 @@
   [[nodiscard]] std::vector<story_line> dropped() const;
 
 private:
-  struct entry;
-
-  void readLine(const std::string &Line, const std::string &Process,
-                std::size_t Number);
-  [[nodiscard]] bool concerns(const entry &Entry) const;
-  [[nodiscard]] bool around(long long TimeMs) const;
-
   struct entry {
     long long TimeMs = 0;
     std::string Process;
-    std::string Json; //!< The whole line's object.
+    boost::json::object Fields;
   };
+
+  void readLine(const std::string &Line, const std::string &Process,
+                std::size_t Number);
+  [[nodiscard]] bool around(long long TimeMs) const;
   std::string Id;
   std::vector<entry> Own;
   std::vector<entry> Others; //!< That may concern any request.
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -186,9 +186,8 @@
 void control_host::logDecision(const wire::command &Command,
                                const apply_result &Result,
                                std::uint64_t Index) const {
-  if (!Log->leadershipConfirmed())
-    return;
-  if (const auto Event = eventOf(Command, Result, Index))
+  const auto Event = eventOf(Command, Result, Index);
+  if (Event && Log->leadershipConfirmed())
     Text.event(log_level::Info, Event->Name, Event->Fields);
 }
 
--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/http/caller_server.hpp"
 
+#include "pomeloswitch/http/accept_next.hpp"
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/exchange.hpp"
 #include "pomeloswitch/http/readable_watch.hpp"
@@ -32,8 +33,6 @@
 using reuse_port =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-//! Between two tries to accept, where there is no descriptor for a connection.
-constexpr auto AcceptPause = std::chrono::milliseconds(20);
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
@@ -123,16 +122,12 @@
 
 asio::awaitable<void> caller_server::acceptLoop() {
   while (Acceptor.is_open()) {
-    error_code Error;
-    tcp::socket Socket = co_await Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (Error && Acceptor.is_open()) {
-      asio::steady_timer Pause(Context.Io, AcceptPause);
-      co_await Pause.async_wait(asio::use_awaitable);
-    }
-    if (Error)
+    auto Accepted = co_await acceptNext(Acceptor);
+    if (!Accepted)
       continue;
-    Socket.set_option(tcp::no_delay(true), Error);
+    tcp::socket Socket = std::move(*Accepted);
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
     if (Connections.size() >= Limits.Connections) {
       asio::co_spawn(Context.Io,
                      refuseConnection(std::move(Socket), Context.Dialect),
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -489,9 +489,8 @@
 
 asio::awaitable<void> exchange::relayAnswer(upstream_loan &Connection,
                                             target_dispatch &Dispatch) {
-  CallerKeepAlive = CallerKeepAlive && Request.is_done();
+  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
   Connection->Stream.expires_at(Plan.Deadline);
-  CallerKeepAlive = CallerKeepAlive && !Context.Stopping;
   answer_relay Relay(Caller, *Connection, Dispatch.answer(), Context.Dialect);
   if (Claim.held())
     Relay.keepCopy();
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -1,11 +1,9 @@
 #include "pomeloswitch/http/simple_server.hpp"
 
-#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/http/accept_next.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -27,15 +25,8 @@
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr auto IdleTimeout = std::chrono::seconds(60);
-//! Between two tries to accept, where there is no descriptor for a connection.
-constexpr auto AcceptPause = std::chrono::milliseconds(20);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
 
-const part_log &log() {
-  static const part_log Log("http");
-  return Log;
-}
-
 asio::awaitable<text_response> answer(const text_handler &Handler,
                                       const text_request &Request) {
   try {
@@ -92,19 +83,13 @@
 simple_server::acceptLoop(tcp::acceptor &Acceptor,
                           std::shared_ptr<const text_handler> Handler) {
   while (Acceptor.is_open()) {
-    boost::system::error_code Error;
-    tcp::socket Socket = co_await Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Error));
-    if (Error && Acceptor.is_open()) {
-      log().warn("A connection could not be accepted: {}.", Error.message());
-      asio::steady_timer Pause(Acceptor.get_executor(), AcceptPause);
-      co_await Pause.async_wait(asio::use_awaitable);
-    }
-    if (Error)
+    auto Socket = co_await acceptNext(Acceptor);
+    if (!Socket)
       continue;
     // A connection that ends early concerns nobody but its own peer.
-    const auto Executor = Socket.get_executor();
-    asio::co_spawn(Executor, serve(std::move(Socket), Handler), asio::detached);
+    const auto Executor = Socket->get_executor();
+    asio::co_spawn(Executor, serve(std::move(*Socket), Handler),
+                   asio::detached);
   }
 }
 
