--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <random>
 
@@ -24,6 +25,21 @@
 constexpr milliseconds StallThreshold{500};
 constexpr std::size_t BatchBytes = 256 * 1024;
 constexpr std::size_t MaxRetainedResults = 4096;
+constexpr milliseconds ActivityLogInterval{5000};
+
+//! What a control host spends its time on; the order is that of ActivityNames.
+enum control_activity : std::size_t {
+  HandleHeartbeat,
+  HandleTargetReport,
+  ApplyCommit,
+  SendLog,
+  ScheduleOrders,
+  HandleOrderResult,
+  Plan,
+};
+constexpr std::array<std::string_view, 7> ActivityNames{
+    "heartbeats",       "target_reports", "commits", "log_batches",
+    "order_scheduling", "order_results",  "plans"};
 
 std::uint64_t unixNowMs() {
   return static_cast<std::uint64_t>(
@@ -93,10 +109,11 @@
                            control_settings GivenSettings,
                            std::unique_ptr<replicated_log> GivenLog,
                            std::unique_ptr<target_caller> GivenCaller)
-    : Io(Io), Settings(std::move(GivenSettings)), Log(std::move(GivenLog)),
-      Leases(leaseTimesOf(Settings)), Rates(Leases.times()),
-      Planner(planner_limits()), Orders(orderTimesOf(Settings)),
-      Caller(std::move(GivenCaller)), Ticker(Io) {
+    : Io(Io), Settings(std::move(GivenSettings)), Activity(ActivityNames),
+      Log(std::move(GivenLog)), Leases(leaseTimesOf(Settings)),
+      Rates(Leases.times()), Planner(planner_limits()),
+      Orders(orderTimesOf(Settings)), Caller(std::move(GivenCaller)),
+      Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -114,7 +131,7 @@
   Admin = std::make_unique<admin_api>(Io, *this);
   AdminServer = std::make_unique<simple_server>(
       Io, parseEndpoint(Settings.AdminAddress),
-      [this](const text_request &Request) { return Admin->handle(Request); });
+      [this](const text_request &Request) { return handleAdmin(Request); });
 }
 
 control_host::~control_host() = default;
@@ -164,6 +181,7 @@
 }
 
 void control_host::onCommitted(const committed_entry &Entry) {
+  const activity_meter::timer Timer(Activity, ApplyCommit);
   wire::command Command;
   if (!Command.ParseFromString(Entry.Command))
     throw pomelo_error(error_kind::StorageFailed,
@@ -226,6 +244,7 @@
 
 void control_host::onHeartbeat(const std::shared_ptr<peer_link> &Link,
                                const wire::heartbeat &Heartbeat) {
+  const activity_meter::timer Timer(Activity, HandleHeartbeat);
   wire::envelope Answer;
   auto *Ack = Answer.mutable_heartbeat_ack();
   Ack->set_sequence(Heartbeat.sequence());
@@ -277,6 +296,7 @@
 }
 
 bool control_host::targetHeard(target_status Status) {
+  const activity_meter::timer Timer(Activity, HandleTargetReport);
   if (!Log->leadershipConfirmed())
     return false;
   Status.HeardAt = steady_clock::now();
@@ -347,6 +367,7 @@
     }
     Batch->set_commit_index(Log->commitIndex());
     Batch->set_leader_id(Log->leaderId());
+    const activity_meter::timer Timer(Activity, SendLog);
     Link.send(Message);
   }
 }
@@ -370,11 +391,13 @@
   LastTickAt = Now;
   if (Stalled)
     Leases.extendAfterStall(Now);
+  logActivity(Now);
   if (!Log->leadershipConfirmed())
     return;
   sendTargetOrders(Now);
   if (PlannedInFlight > 0)
     return;
+  const activity_meter::timer Timer(Activity, Plan);
   Leases.removeExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
   std::vector<wire::command> Moves = Planner.plan(State, Leases, Loads, Now);
@@ -391,20 +414,53 @@
 void control_host::sendTargetOrders(mono_time Now) {
   if (!Caller)
     return;
+  const activity_meter::timer Timer(Activity, ScheduleOrders);
   const order_times Times = orderTimesOf(Settings);
   for (const target_order &Order : Orders.dueOrders(State, Leases, Now))
     Caller->call(Order,
                  Order.Kind == order_kind::Grant ? Times.CallTimeout
                                                  : Times.ReleaseTimeout,
                  [this, Order, Term = OrderTerm](const order_result &Result) {
-                   if (const auto Event = eventFor(Order, Result))
-                     Logger.event(log_level::Info, Event->Name, Event->Fields);
-                   if (Term == OrderTerm)
-                     Orders.recordResult(Order, Result, steady_clock::now());
+                   onTargetOrderEnded(Order, Result, Term);
                  });
   Orders.updateLeases(State, Leases, Now);
 }
 
+void control_host::onTargetOrderEnded(const target_order &Order,
+                                      const order_result &Result,
+                                      std::uint64_t Term) {
+  const activity_meter::timer Timer(Activity, HandleOrderResult);
+  if (const auto Event = eventFor(Order, Result))
+    Logger.event(log_level::Info, Event->Name, Event->Fields);
+  if (Term == OrderTerm)
+    Orders.recordResult(Order, Result, steady_clock::now());
+}
+
+void control_host::logActivity(mono_time Now) {
+  if (Now - ActivityLoggedAt < ActivityLogInterval)
+    return;
+  ActivityLoggedAt = Now;
+  boost::json::object Fields = Activity.takeReport();
+  Fields["links"] = Sessions.size();
+  Fields["index"] = State.index();
+  Logger.event(log_level::Info, "control_activity", Fields);
+}
+
+boost::asio::awaitable<text_response>
+control_host::handleAdmin(const text_request &Request) {
+  if (Request.target() != "/metrics")
+    co_return co_await Admin->handle(Request);
+  metric_set Metrics;
+  Activity.exportTo(Metrics);
+  Metrics.setGauge("pomelo_links", {}, static_cast<double>(Sessions.size()));
+  Metrics.setGauge("pomelo_state_index", {},
+                   static_cast<double>(State.index()));
+  text_response Response = makeJsonResponse(Metrics.text(), Request.version());
+  Response.set(boost::beast::http::field::content_type,
+               "text/plain; version=0.0.4");
+  co_return Response;
+}
+
 std::string control_host::describe() const {
   const boost::json::object Description{
       {"role", "control"},
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/control/admin_api.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
+#include "pomeloswitch/observe/activity_meter.hpp"
 #include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/ownership/load_table.hpp"
 #include "pomeloswitch/ownership/order_scheduler.hpp"
@@ -83,10 +84,16 @@
   void tick();
   void planAndPropose();
   void sendTargetOrders(mono_time Now);
+  void onTargetOrderEnded(const target_order &Order, const order_result &Result,
+                          std::uint64_t Term);
+  void logActivity(mono_time Now);
+  boost::asio::awaitable<text_response>
+  handleAdmin(const text_request &Request);
 
   boost::asio::io_context &Io;
   control_settings Settings;
   component_logger Logger{"control"};
+  activity_meter Activity;
   std::unique_ptr<replicated_log> Log;
   cluster_state State;
   lease_table Leases;
@@ -104,6 +111,7 @@
   boost::asio::steady_timer Ticker;
   std::size_t PlannedInFlight = 0;
   mono_time LastTickAt{};
+  mono_time ActivityLoggedAt{};
 };
 
 //! Builds a control host. build() binds the addresses.
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -3,7 +3,10 @@
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
+#include <boost/json/object.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -206,8 +209,23 @@
 //! A lease is valid only once this host's state includes everything that was
 //! committed when the leader granted it.
 void control_session::notifyLeaseIfCaughtUp() {
-  if (State.index() >= LeaseIndex)
-    Callbacks.OnLease(LeaseUntil);
+  if (State.index() < LeaseIndex)
+    return;
+  EffectiveLeaseUntil = LeaseUntil;
+  Callbacks.OnLease(LeaseUntil);
+}
+
+void control_session::logLeaseChange(steady_time Now) {
+  const bool Valid = lease_clock::now() < EffectiveLeaseUntil;
+  if (Valid == std::exchange(LeaseWasValid, Valid))
+    return;
+  Log.event(
+      Valid ? log_level::Info : log_level::Warn,
+      Valid ? "lease_gained" : "lease_lost",
+      {{"index", State.index()},
+       {"lease_index", LeaseIndex},
+       {"acknowledged_ms_ago",
+        std::chrono::duration_cast<milliseconds>(Now - LastAckAt).count()}});
 }
 
 std::uint64_t control_session::queueReport(const wire::target_report &Report) {
@@ -285,6 +303,7 @@
   SentAt[Heartbeat->sequence()] = lease_clock::now();
   if (SentAt.size() > MaxUnacknowledged)
     SentAt.erase(SentAt.begin());
+  logLeaseChange(Now);
   const bool LeaderKnown = Leader && Now - LastAckAt < LeaderTimeout;
   for (const auto &Host : Hosts)
     if ((!LeaderKnown || Host.get() == Leader) && Host->Dialer->send(Message) &&
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -99,6 +99,7 @@
   void scheduleProposalExpiry();
   void scheduleHeartbeat(std::chrono::milliseconds Delay);
   void notifyLeaseIfCaughtUp();
+  void logLeaseChange(steady_time Now);
 
   boost::asio::io_context &Io;
   const entry_settings &Settings;
@@ -117,6 +118,8 @@
   // LeaseUntil takes effect once the state has reached LeaseIndex.
   std::uint64_t LeaseIndex = 0;
   lease_time LeaseUntil{};
+  lease_time EffectiveLeaseUntil{};
+  bool LeaseWasValid = false; //!< At the last heartbeat.
   std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
   proposal_table Proposals;
   boost::asio::steady_timer ProposalTimer;
