--- a/src/pomeloswitch/membership/lease_table.cpp
+++ b/src/pomeloswitch/membership/lease_table.cpp
@@ -127,9 +127,10 @@
 
 bool lease_table::mayKeepSlots(const target_member &Target,
                                mono_time Now) const {
-  if (!Target.OrderedByCall)
-    return !targetExpired(Target.TargetId, Now);
-  const called_target_status *Status = findCalledTarget(Target);
+  if (targetExpired(Target.TargetId, Now))
+    return false;
+  const called_target_status *Status =
+      Target.OrderedByCall ? findCalledTarget(Target) : nullptr;
   return !Status || Status->KeepsSlots;
 }
 
--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -145,8 +145,9 @@
   for (const auto &[Id, Status] : Leases.targets())
     if (!Leases.targetExpired(Id, Now))
       planAnnouncedTarget(State, Status, Commands);
+  // The slots of a target that is no longer a member count as released.
   for (const auto &[Id, Member] : State.targets())
-    if (Leases.targetExpired(Id, Now))
+    if (Leases.targetExpired(Id, Now) && Leases.targetReleased(Member, Now))
       Commands.push_back(removeTarget(Member));
   return Commands;
 }
