--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -178,7 +178,7 @@
   if (State.index() == Before)
     return;
   Callbacks.OnState(State);
-  notifyLeaseIfCaughtUp();
+  takeLease();
   sendHeartbeatSoon();
 }
 
@@ -196,36 +196,32 @@
   Leader = &Host;
   if (LogSource != &Host)
     subscribe(Host);
-  if (Until > LeaseUntil) {
-    LeaseUntil = Until;
-    LeaseIndex = std::max<std::uint64_t>(LeaseIndex, Ack.commit_index());
-  }
-  notifyLeaseIfCaughtUp();
+  PendingLeases.add(Ack.commit_index(), Until, lease_clock::now());
+  takeLease();
   if (Ack.has_quota())
     Callbacks.OnQuota(Ack, Until);
   Callbacks.OnAck(Ack);
 }
 
-//! A lease is valid only once this host's state includes everything that was
-//! committed when the leader granted it.
-void control_session::notifyLeaseIfCaughtUp() {
-  if (State.index() < LeaseIndex)
+void control_session::takeLease() {
+  const auto Until = PendingLeases.take(State.index());
+  if (!Until)
     return;
-  EffectiveLeaseUntil = LeaseUntil;
+  LeaseUntil = *Until;
   Callbacks.OnLease(LeaseUntil);
 }
 
 void control_session::logLeaseChange(steady_time Now) {
-  const bool Valid = lease_clock::now() < EffectiveLeaseUntil;
+  const bool Valid = lease_clock::now() < LeaseUntil;
   if (Valid == std::exchange(LeaseWasValid, Valid))
     return;
-  Log.event(
-      Valid ? log_level::Info : log_level::Warn,
-      Valid ? "lease_gained" : "lease_lost",
-      {{"index", State.index()},
-       {"lease_index", LeaseIndex},
-       {"acknowledged_ms_ago",
-        std::chrono::duration_cast<milliseconds>(Now - LastAckAt).count()}});
+  Log.event(Valid ? log_level::Info : log_level::Warn,
+            Valid ? "lease_gained" : "lease_lost",
+            {{"index", State.index()},
+             {"lease_index", PendingLeases.latestIndex()},
+             {"acknowledged_ms_ago",
+              std::chrono::duration_cast<milliseconds>(Now - LastAckAt)
+                  .count()}});
 }
 
 std::uint64_t control_session::queueReport(const wire::target_report &Report) {
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 #define POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 
+#include "pomeloswitch/entry/pending_leases.hpp"
 #include "pomeloswitch/entry/proposal_table.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/observe/log.hpp"
@@ -98,7 +99,7 @@
   void sendHeartbeat();
   void scheduleProposalExpiry();
   void scheduleHeartbeat(std::chrono::milliseconds Delay);
-  void notifyLeaseIfCaughtUp();
+  void takeLease();
   void logLeaseChange(steady_time Now);
 
   boost::asio::io_context &Io;
@@ -115,10 +116,8 @@
   std::uint64_t NextSequence = 1;
   std::map<std::uint64_t, lease_time> SentAt;
   steady_time LastAckAt{};
-  // LeaseUntil takes effect once the state has reached LeaseIndex.
-  std::uint64_t LeaseIndex = 0;
+  pending_leases PendingLeases;
   lease_time LeaseUntil{};
-  lease_time EffectiveLeaseUntil{};
   bool LeaseWasValid = false; //!< At the last heartbeat.
   std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
   proposal_table Proposals;
