--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -14,11 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds HeartbeatInterval{200};
-constexpr milliseconds PromptHeartbeatDelay{5};
-//! Without an acknowledgement for this long, heartbeats go to every control
-//! host.
-constexpr milliseconds LeaderTimeout{400};
 //! A link without any message after a heartbeat for this long is dialed again.
 constexpr milliseconds LinkTimeout{900};
 constexpr std::size_t MaxUnacknowledged = 64;
@@ -123,7 +118,7 @@
 void control_session::start() {
   for (const auto &Host : Hosts)
     Host->Dialer->start();
-  scheduleHeartbeat(HeartbeatInterval);
+  sendHeartbeatSoon();
 }
 
 void control_session::stop() {
@@ -177,6 +172,7 @@
   }
   if (State.index() == Before)
     return;
+  Schedule.setHostCount(State.entryHosts().size());
   Callbacks.OnState(State);
   takeLease();
   sendHeartbeatSoon();
@@ -192,7 +188,8 @@
     return;
   const lease_time Until = Sent->second + milliseconds(Ack.lease_ms());
   SentAt.erase(SentAt.begin(), std::next(Sent));
-  LastAckAt = steady_clock::now();
+  Schedule.answered(Ack.sequence(), steady_clock::now());
+  armHeartbeatTimer();
   Leader = &Host;
   if (LogSource != &Host)
     subscribe(Host);
@@ -219,9 +216,9 @@
             Valid ? "lease_gained" : "lease_lost",
             {{"index", State.index()},
              {"lease_index", PendingLeases.latestIndex()},
-             {"acknowledged_ms_ago",
-              std::chrono::duration_cast<milliseconds>(Now - LastAckAt)
-                  .count()}});
+             {"acknowledged_ms_ago", std::chrono::duration_cast<milliseconds>(
+                                         Now - Schedule.answeredAt())
+                                         .count()}});
 }
 
 std::uint64_t control_session::queueReport(const wire::target_report &Report) {
@@ -259,21 +256,21 @@
 }
 
 void control_session::sendHeartbeatSoon() {
-  scheduleHeartbeat(PromptHeartbeatDelay);
+  Schedule.want(steady_clock::now());
+  armHeartbeatTimer();
 }
 
-void control_session::scheduleHeartbeat(milliseconds Delay) {
-  const steady_time Due = steady_clock::now() + Delay;
-  if (NextHeartbeatAt != steady_time() && NextHeartbeatAt <= Due)
+void control_session::armHeartbeatTimer() {
+  if (TimerArmedFor != steady_time() && TimerArmedFor <= Schedule.due())
     return;
-  NextHeartbeatAt = Due;
-  HeartbeatTimer.expires_at(Due);
+  TimerArmedFor = Schedule.due();
+  HeartbeatTimer.expires_at(TimerArmedFor);
   HeartbeatTimer.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
-    NextHeartbeatAt = steady_time();
+    TimerArmedFor = steady_time();
     sendHeartbeat();
-    scheduleHeartbeat(HeartbeatInterval);
+    armHeartbeatTimer();
   });
 }
 
@@ -296,11 +293,12 @@
   Callbacks.AddQuota(*Heartbeat);
   Callbacks.AddLoads(*Heartbeat);
   const steady_time Now = steady_clock::now();
+  Schedule.sent(Now);
   SentAt[Heartbeat->sequence()] = lease_clock::now();
   if (SentAt.size() > MaxUnacknowledged)
     SentAt.erase(SentAt.begin());
   logLeaseChange(Now);
-  const bool LeaderKnown = Leader && Now - LastAckAt < LeaderTimeout;
+  const bool LeaderKnown = Leader && Schedule.leaderKnown(Now);
   for (const auto &Host : Hosts)
     if ((!LeaderKnown || Host.get() == Leader) && Host->Dialer->send(Message) &&
         Host->UnansweredSince == steady_time())
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 #define POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 
+#include "pomeloswitch/entry/heartbeat_schedule.hpp"
 #include "pomeloswitch/entry/pending_leases.hpp"
 #include "pomeloswitch/entry/proposal_table.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
@@ -98,7 +99,7 @@
   void subscribe(control_host &Host);
   void sendHeartbeat();
   void scheduleProposalExpiry();
-  void scheduleHeartbeat(std::chrono::milliseconds Delay);
+  void armHeartbeatTimer();
   void takeLease();
   void logLeaseChange(steady_time Now);
 
@@ -112,10 +113,10 @@
   control_host *LogSource = nullptr; //!< Host whose log this session follows.
   control_host *Leader = nullptr;    //!< Host that granted the last lease.
   boost::asio::steady_timer HeartbeatTimer;
-  steady_time NextHeartbeatAt{};
+  heartbeat_schedule Schedule;
+  steady_time TimerArmedFor{}; //!< When HeartbeatTimer expires.
   std::uint64_t NextSequence = 1;
   std::map<std::uint64_t, lease_time> SentAt;
-  steady_time LastAckAt{};
   pending_leases PendingLeases;
   lease_time LeaseUntil{};
   bool LeaseWasValid = false; //!< At the last heartbeat.
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -15,8 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-//! A heartbeat round trip to the leader takes a fraction of this.
-constexpr milliseconds MaxWait{100};
+//! Covers the least time between two heartbeats and a round trip to the leader.
+constexpr milliseconds MaxWait{250};
 //! A new leader answers within this time. Until it does, it is not known
 //! whether the account exceeds its rate.
 constexpr milliseconds MaxUnansweredWait{1000};
