--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -1,6 +1,8 @@
 #include "pomeloswitch/admission/rate_ledger.hpp"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace pomelo {
 
@@ -11,6 +13,7 @@
   LastEarlierGrantAt = {};
   Hosts.clear();
   Ledgers.clear();
+  ConfiguredAccounts.clear();
 }
 
 const account_ledger *rate_ledger::find(std::string_view Account) const {
@@ -18,8 +21,26 @@
   return Found == Ledgers.end() ? nullptr : &Found->second;
 }
 
+bool rate_ledger::isConfigured(std::span<const client_account> Accounts,
+                               std::size_t HostCount) const {
+  // Ledgers of removed accounts remain until no host holds anything of them.
+  return HostCount == ConfiguredHosts && Ledgers.size() == Accounts.size() &&
+         std::equal(
+             Accounts.begin(), Accounts.end(), ConfiguredAccounts.begin(),
+             ConfiguredAccounts.end(),
+             [](const client_account &Left, const client_account &Right) {
+               return Left.Name == Right.Name &&
+                      Left.RatePerSecond == Right.RatePerSecond &&
+                      Left.Burst == Right.Burst;
+             });
+}
+
 void rate_ledger::configure(std::span<const client_account> Accounts,
                             std::size_t HostCount, mono_time Now) {
+  if (isConfigured(Accounts, HostCount))
+    return;
+  ConfiguredAccounts.assign(Accounts.begin(), Accounts.end());
+  ConfiguredHosts = HostCount;
   // Accounts first seen during the takeover existed before the term.
   const mono_time FillSince = TakeoverDone ? Now : TermStartedAt;
   for (const client_account &Account : Accounts) {
@@ -119,6 +140,9 @@
   Grant.Term = Term;
   Grant.Epoch = Record.Epoch;
   Grant.KeepHeld = !TakeoverDone || !Record.Inherited;
+  std::unordered_set<std::string_view> ReportedAccounts;
+  for (const account_report &Each : Report.Accounts)
+    ReportedAccounts.insert(Each.Account);
   // A host may still hold an earlier grant of an account that it no longer
   // reports; that grant is revoked.
   for (auto &Entry : Ledgers) {
@@ -127,11 +151,7 @@
     // leader, which became invalid with it or came out of its bucket.
     if (Grant.KeepHeld && (Ledger.isShared() || !Record.Inherited))
       continue;
-    const bool Reported =
-        std::any_of(Report.Accounts.begin(), Report.Accounts.end(),
-                    [&](const account_report &Each) {
-                      return Each.Account == Entry.first;
-                    });
+    const bool Reported = ReportedAccounts.contains(Entry.first);
     if (!Reported)
       Ledger.setIdle(Host);
     if (Reported || Ledger.hasHoldings(Host))
--- a/src/pomeloswitch/admission/rate_ledger.hpp
+++ b/src/pomeloswitch/admission/rate_ledger.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace pomelo {
 
@@ -45,6 +46,8 @@
   };
 
   void expireHosts(mono_time Now);
+  [[nodiscard]] bool isConfigured(std::span<const client_account> Accounts,
+                                  std::size_t HostCount) const;
   void configure(std::span<const client_account> Accounts,
                  std::size_t HostCount, mono_time Now);
   void updateTakeover(const entry_map &Registered, mono_time Now);
@@ -64,6 +67,8 @@
   bool TakeoverDone = false;
   std::map<host_incarnation, host_record> Hosts;
   std::map<std::string, account_ledger, std::less<>> Ledgers;
+  std::vector<client_account> ConfiguredAccounts;
+  std::size_t ConfiguredHosts = 0;
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -21,6 +21,10 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds TickInterval{20};
+//! From one plan to the next if none of the inputs has changed but time.
+constexpr milliseconds PlanInterval{100};
+//! Entries committed within this time travel to an entry host in one message.
+constexpr milliseconds LogInterval{40};
 //! A longer gap between ticks means that this process was stalled.
 constexpr milliseconds StallThreshold{500};
 constexpr std::size_t BatchBytes = 256 * 1024;
@@ -160,13 +164,13 @@
     if (!Snapshot.ParseFromString(Bytes))
       throw pomelo_error(error_kind::StorageFailed, "cannot parse a snapshot");
     State = cluster_state::fromSnapshot(Snapshot);
-    sendLogToAll();
   };
   Applier.TakeSnapshot = [this] {
     return State.toSnapshot().SerializeAsString();
   };
   Applier.OnLeadership = [this](bool Leading) {
     PlannedInFlight = 0;
+    PlanInputsChanged = true;
     if (Leading) {
       Leases.startTerm(State, steady_clock::now());
       Orders.startTerm(State, steady_clock::now());
@@ -196,7 +200,6 @@
     Leases.resetWarmReports(Command.set_drain().name());
   if (Results.size() > MaxRetainedResults)
     Results.erase(Results.begin());
-  sendLogToAll();
 }
 
 //! Only the leader logs: every control host applies the same changes.
@@ -301,6 +304,12 @@
     return false;
   Status.HeardAt = steady_clock::now();
   Leases.targetHeard(Status, Log->commitIndex());
+  const auto Member = State.targets().find(Status.Announced.TargetId);
+  PlanInputsChanged |=
+      Member == State.targets().end() ||
+      Member->second.Incarnation != Status.Announced.Incarnation ||
+      Member->second.Leaving != Status.Announced.Leaving ||
+      Member->second.Cold != Status.Announced.Cold;
   return true;
 }
 
@@ -319,7 +328,11 @@
   const std::uint64_t RequestId = Proposal.request_id();
   proposeChange(
       Proposal.command(),
-      [Link, RequestId](const apply_result &Result, std::uint64_t Index) {
+      [this, Link, RequestId](const apply_result &Result, std::uint64_t Index) {
+        // The host has applied its command when it learns the result.
+        const auto Session = Sessions.find(Link);
+        if (Session != Sessions.end() && Session->second->NextIndex > 0)
+          sendLog(*Link, *Session->second);
         wire::envelope Answer;
         auto *Out = Answer.mutable_proposal_result();
         Out->set_request_id(RequestId);
@@ -338,7 +351,10 @@
       });
 }
 
-void control_host::sendLogToAll() {
+void control_host::sendLogToAll(mono_time Now) {
+  if (Now - LogSentAt < LogInterval)
+    return;
+  LogSentAt = Now;
   for (const auto &[Link, Session] : Sessions)
     if (Session->NextIndex > 0)
       sendLog(*Link, *Session);
@@ -377,27 +393,41 @@
   Ticker.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
-    planAndPropose();
-    sendLogToAll();
+    const mono_time Now = steady_clock::now();
+    lead(Now);
+    sendLogToAll(Now);
+    logActivity(Now);
     tick();
   });
 }
 
-//! Plans are computed from the applied state, so a new one is made only after
-//! the previous one has been applied.
-void control_host::planAndPropose() {
-  const mono_time Now = steady_clock::now();
+void control_host::lead(mono_time Now) {
   const bool Stalled = Now - LastTickAt > StallThreshold;
   LastTickAt = Now;
   if (Stalled)
     Leases.extendAfterStall(Now);
-  logActivity(Now);
   if (!Log->leadershipConfirmed())
     return;
   sendTargetOrders(Now);
-  if (PlannedInFlight > 0)
-    return;
+  if (planDue(Now))
+    planAndPropose(Now);
+}
+
+//! Plans are computed from the applied state, so a new one is made only after
+//! the previous one has been applied.
+bool control_host::planDue(mono_time Now) const {
+  return PlannedInFlight == 0 &&
+         (PlanInputsChanged || PlannedIndex != State.index() ||
+          Now - PlannedAt >= PlanInterval);
+}
+
+void control_host::planAndPropose(mono_time Now) {
   const activity_meter::timer Timer(Activity, Plan);
+  PlanInputsChanged = false;
+  PlannedIndex = State.index();
+  PlannedAt = Now;
+  if (Caller)
+    Orders.updateLeases(State, Leases, Now);
   Leases.removeExpired(State, Now);
   std::vector<wire::command> Commands = planMembership(State, Leases, Now);
   std::vector<wire::command> Moves = Planner.plan(State, Leases, Loads, Now);
@@ -423,7 +453,6 @@
                  [this, Order, Term = OrderTerm](const order_result &Result) {
                    onTargetOrderEnded(Order, Result, Term);
                  });
-  Orders.updateLeases(State, Leases, Now);
 }
 
 void control_host::onTargetOrderEnded(const target_order &Order,
@@ -432,8 +461,9 @@
   const activity_meter::timer Timer(Activity, HandleOrderResult);
   if (const auto Event = eventFor(Order, Result))
     Logger.event(log_level::Info, Event->Name, Event->Fields);
-  if (Term == OrderTerm)
-    Orders.recordResult(Order, Result, steady_clock::now());
+  if (Term == OrderTerm &&
+      Orders.recordResult(Order, Result, steady_clock::now()))
+    PlanInputsChanged = true;
 }
 
 void control_host::logActivity(mono_time Now) {
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -80,9 +80,11 @@
   void onProposal(const std::shared_ptr<peer_link> &Link,
                   const wire::proposal &Proposal);
   void sendLog(peer_link &Link, session &Session);
-  void sendLogToAll();
+  void sendLogToAll(mono_time Now);
   void tick();
-  void planAndPropose();
+  void lead(mono_time Now);
+  [[nodiscard]] bool planDue(mono_time Now) const;
+  void planAndPropose(mono_time Now);
   void sendTargetOrders(mono_time Now);
   void onTargetOrderEnded(const target_order &Order, const order_result &Result,
                           std::uint64_t Term);
@@ -110,6 +112,10 @@
   std::unique_ptr<simple_server> AdminServer;
   boost::asio::steady_timer Ticker;
   std::size_t PlannedInFlight = 0;
+  std::uint64_t PlannedIndex = 0; //!< State index of the latest plan.
+  mono_time PlannedAt{};
+  bool PlanInputsChanged = true; //!< Since the latest plan.
+  mono_time LogSentAt{};
   mono_time LastTickAt{};
   mono_time ActivityLoggedAt{};
 };
--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -36,6 +36,8 @@
 void order_scheduler::startTerm(const cluster_state &State, mono_time Now) {
   GrantStates.clear();
   Targets.clear();
+  Members = nullptr;
+  Schedules.clear();
   for (const service &Service : State.sharedInventory()->Services) {
     const auto Table = State.sharedSlots(Service.Name);
     if (!Table)
@@ -135,47 +137,82 @@
                                                      const lease_table &Leases,
                                                      mono_time Now) {
   std::vector<target_order> Orders;
-  updateTargetRecords(State, Leases);
+  followMembers(State);
+  updateTargetRecords(Leases);
   for (const service &Service : State.sharedInventory()->Services)
     if (State.sharedSlots(Service.Name))
       addOrders(State, Service, Now, Orders);
   return Orders;
 }
 
+//! Drops the records of targets that are no longer members, and all schedules,
+//! once the membership has changed.
+void order_scheduler::followMembers(const cluster_state &State) {
+  if (Members == State.sharedTargets())
+    return;
+  Members = State.sharedTargets();
+  Schedules.clear();
+  std::erase_if(Targets, [this](const auto &Entry) {
+    return !Members->contains(Entry.first);
+  });
+}
+
+order_scheduler::service_schedule &
+order_scheduler::scheduleOf(const cluster_state &State,
+                            const service &Service) {
+  service_schedule &Schedule = Schedules[Service.Name];
+  const auto Table = State.sharedSlots(Service.Name);
+  if (Schedule.Table == Table)
+    return Schedule;
+  Schedule.Table = Table;
+  Schedule.Runs.clear();
+  for (owned_slot_run &Owned : ownedRunsOf(State, Service)) {
+    const target_member &Member = Members->at(Owned.Owner);
+    target_record &Record = recordOf(Member);
+    call_record &Call = Record.Calls[{Service.Name, Owned.Run}];
+    Schedule.Runs.push_back({std::move(Owned), &Member, &Record, &Call});
+  }
+  forgetOtherCalls(Service, Schedule.Runs);
+  return Schedule;
+}
+
+//! Drops the ended calls for runs of the service that no longer exist.
+void order_scheduler::forgetOtherCalls(const service &Service,
+                                       const std::vector<scheduled_run> &Runs) {
+  std::set<const call_record *> Scheduled;
+  for (const scheduled_run &Each : Runs)
+    Scheduled.insert(Each.Call);
+  for (auto &[Id, Record] : Targets)
+    std::erase_if(Record.Calls, [&](const auto &Entry) {
+      return Entry.first.first == Service.Name && !Entry.second.InFlight &&
+             !Scheduled.contains(&Entry.second);
+    });
+}
+
 void order_scheduler::addOrders(const cluster_state &State,
                                 const service &Service, mono_time Now,
                                 std::vector<target_order> &Orders) {
-  std::map<std::string, std::vector<slot_run>> Present;
-  const auto Runs = ownedRunsOf(State, Service);
-  const auto SlotCount =
-      static_cast<std::uint32_t>(State.sharedSlots(Service.Name)->size());
-  for (const owned_slot_run &Owned : Runs) {
-    const target_member &Member = State.targets().at(Owned.Owner);
-    target_record &Record = recordOf(Member);
-    Present[Owned.Owner].push_back(Owned.Run);
-    call_record &Call = Record.Calls[{Service.Name, Owned.Run}];
+  const service_schedule &Schedule = scheduleOf(State, Service);
+  for (const scheduled_run &Each : Schedule.Runs) {
+    const owned_slot_run &Owned = Each.Owned;
     const bool Granting = Owned.Run.Kind == order_kind::Grant;
+    if (!callDue(*Each.Call, Owned.Run.Kind, Now))
+      continue;
     const bool Blocked =
-        Granting ? Record.MaybeRestarted : grantInFlight(Service, Owned);
-    if (Blocked || !callDue(Call, Owned.Run.Kind, Now))
+        Granting ? Each.Record->MaybeRestarted : grantInFlight(Service, Owned);
+    if (Blocked)
       continue;
-    Call.InFlight = true;
-    if (Record.LastSuccessAt == mono_time())
-      Record.LastSuccessAt = Now;
+    Each.Call->InFlight = true;
+    if (Each.Record->LastSuccessAt == mono_time())
+      Each.Record->LastSuccessAt = Now;
     if (Granting)
       recordSent(Service.Name, Owned.Run);
-    Orders.push_back({Owned.Run.Kind, Member.TargetId, Member.Incarnation,
-                      Member.Address, Service.Name, Owned.Run.First,
-                      Owned.Run.Last, SlotCount, Service.KeySpace,
-                      Owned.Run.Token, Times.GrantDuration, Owned.Handover});
+    Orders.push_back(
+        {Owned.Run.Kind, Each.Member->TargetId, Each.Member->Incarnation,
+         Each.Member->Address, Service.Name, Owned.Run.First, Owned.Run.Last,
+         static_cast<std::uint32_t>(Schedule.Table->size()), Service.KeySpace,
+         Owned.Run.Token, Times.GrantDuration, Owned.Handover});
   }
-  for (auto &Entry : Targets)
-    std::erase_if(Entry.second.Calls, [&](const auto &Each) {
-      const auto &Runs = Present[Entry.first];
-      return Each.first.first == Service.Name && !Each.second.InFlight &&
-             std::find(Runs.begin(), Runs.end(), Each.first.second) ==
-                 Runs.end();
-    });
 }
 
 void order_scheduler::recordSent(const std::string &Service,
@@ -200,34 +237,31 @@
   Slot.HandoverToken = 0;
 }
 
-void order_scheduler::updateTargetRecords(const cluster_state &State,
-                                          const lease_table &Leases) {
-  std::erase_if(Targets, [&](const auto &Entry) {
-    return !State.targets().contains(Entry.first);
-  });
+void order_scheduler::updateTargetRecords(const lease_table &Leases) {
   for (auto &[Id, Record] : Targets) {
     // An announcement after the latest failure shows that the target is
     // running.
     if (Record.RecentFailures > 0 &&
         Leases.targetHeardAt(Id) > Record.LastFailureAt)
       Record.RecentFailures = 0;
-    const bool HasGrants = std::any_of(
-        Record.Calls.begin(), Record.Calls.end(), [](const auto &Call) {
-          return Call.first.second.Kind == order_kind::Grant;
-        });
-    if (!HasGrants)
-      Record.MaybeRestarted = false;
+    if (Record.MaybeRestarted)
+      Record.MaybeRestarted = std::any_of(
+          Record.Calls.begin(), Record.Calls.end(), [](const auto &Call) {
+            return Call.first.second.Kind == order_kind::Grant;
+          });
   }
 }
 
-void order_scheduler::recordResult(const target_order &Order,
+bool order_scheduler::recordResult(const target_order &Order,
                                    const order_result &Result, mono_time Now) {
   const slot_run Run{Order.FirstSlot, Order.LastSlot, Order.Token, Order.Kind};
   const bool Done = Result.Outcome == order_outcome::Done;
   const bool Granting = Order.Kind == order_kind::Grant;
+  bool Renewal = Granting && Done;
   auto &Slots = grantStatesOf(Order.Service, Order.SlotCount);
   for (auto Number = Order.FirstSlot; Number <= Order.LastSlot; ++Number) {
     slot_grant_state &Slot = Slots[Number];
+    Renewal = Renewal && Slot.ConfirmedToken >= Order.Token;
     if (Granting && Slot.GrantsInFlight > 0)
       --Slot.GrantsInFlight;
     if (Granting && Done) {
@@ -243,8 +277,13 @@
     }
   }
   const auto Found = Targets.find(Order.TargetId);
-  if (Found == Targets.end() || Found->second.Incarnation != Order.Incarnation)
-    return;
+  const bool Current =
+      Found != Targets.end() && Found->second.Incarnation == Order.Incarnation;
+  Renewal = Renewal && Current && Found->second.RecentFailures == 0;
+  if (!Renewal)
+    Schedules.erase(Order.Service);
+  if (!Current)
+    return true;
   target_record &Record = Found->second;
   const auto Call = Record.Calls.find({Order.Service, Run});
   if (Call != Record.Calls.end())
@@ -256,7 +295,7 @@
                            Result.Outcome == order_outcome::Unreachable ||
                            Result.Outcome == order_outcome::ProcessEnded;
   if (Result.Outcome != order_outcome::ProcessEnded)
-    return;
+    return !Renewal;
   // A process that has ended serves no slot, and grants that it had not yet
   // carried out ended with it.
   for (const auto &[Key, Unused] : Record.Calls)
@@ -265,6 +304,7 @@
         if (Key.second.Token >= Slots[Number].SentToken)
           Slots[Number].AnsweredUntil = Slots[Number].UnansweredUntil =
               mono_time();
+  return true;
 }
 
 //! Returns until when the grants sent so far may let a target serve the slot.
--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -95,8 +96,9 @@
   //! each must be passed to recordResult().
   std::vector<target_order> dueOrders(const cluster_state &State,
                                       const lease_table &Leases, mono_time Now);
-  //! Records the result of a call returned by dueOrders().
-  void recordResult(const target_order &Order, const order_result &Result,
+  //! Records the result of a call returned by dueOrders(). Returns whether it
+  //! may change a plan; a renewal of a known grant does not.
+  bool recordResult(const target_order &Order, const order_result &Result,
                     mono_time Now);
 
   //! Updates in \p Leases the status of every target that is ordered by calls.
@@ -151,6 +153,20 @@
     std::string Handover;
   };
 
+  //! A run with the records that tell when its call is due.
+  struct scheduled_run {
+    owned_slot_run Owned;
+    const target_member *Member = nullptr;
+    target_record *Record = nullptr;
+    call_record *Call = nullptr;
+  };
+  //! The runs of one service, valid for one version of its slot table and until
+  //! a call ends that is not a renewal.
+  struct service_schedule {
+    std::shared_ptr<const slot_table> Table;
+    std::vector<scheduled_run> Runs;
+  };
+
   std::vector<slot_grant_state> &grantStatesOf(const std::string &Service,
                                                std::size_t SlotCount);
   target_record &recordOf(const target_member &Member);
@@ -162,13 +178,17 @@
                                    const owned_slot_run &Owned) const;
   [[nodiscard]] bool callDue(const call_record &Call, order_kind Kind,
                              mono_time Now) const;
+  void followMembers(const cluster_state &State);
+  service_schedule &scheduleOf(const cluster_state &State,
+                               const service &Service);
+  void forgetOtherCalls(const service &Service,
+                        const std::vector<scheduled_run> &Runs);
   void addOrders(const cluster_state &State, const service &Service,
                  mono_time Now, std::vector<target_order> &Orders);
   void recordSent(const std::string &Service, const slot_run &Run);
   static void recordReleased(slot_grant_state &Slot, std::uint64_t Token,
                              const std::string &Handover);
-  void updateTargetRecords(const cluster_state &State,
-                           const lease_table &Leases);
+  void updateTargetRecords(const lease_table &Leases);
   [[nodiscard]] mono_time latestGrantEnd(mono_time CallEnd) const;
   [[nodiscard]] mono_time mayServeUntil(const slot_grant_state &Slot,
                                         mono_time Now) const;
@@ -182,6 +202,9 @@
   //! Grants of each slot, by service.
   std::map<std::string, std::vector<slot_grant_state>, std::less<>> GrantStates;
   std::map<std::string, target_record, std::less<>> Targets;
+  //! The members that Targets and Schedules were made for.
+  std::shared_ptr<const target_map> Members;
+  std::map<std::string, service_schedule, std::less<>> Schedules;
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -37,6 +37,7 @@
     if (!Table)
       return;
     Weights = Loads.slotWeights(Service.Name, Table->size(), Now);
+    TotalWeight = std::accumulate(Weights.begin(), Weights.end(), 0.0);
     collectCandidates();
     sumOwnedWeights();
     planGrantsAndRevocations();
@@ -60,6 +61,8 @@
       for (candidate &Each : Candidates)
         Each.MayReceive = Warm(Each);
     scaleCapacities();
+    for (const candidate &Each : Candidates)
+      ReceivingCapacity += Each.MayReceive ? Each.Capacity : 0;
   }
 
   //! Scales capacities by the measured speeds of the targets. A target whose
@@ -85,10 +88,13 @@
   }
 
   candidate *findCandidate(std::string_view Id) {
-    const auto Found = std::find_if(
-        Candidates.begin(), Candidates.end(),
-        [Id](const candidate &Each) { return Each.Target->TargetId == Id; });
-    return Found == Candidates.end() ? nullptr : &*Found;
+    const auto Found =
+        std::lower_bound(Candidates.begin(), Candidates.end(), Id,
+                         [](const candidate &Each, std::string_view Sought) {
+                           return Each.Target->TargetId < Sought;
+                         });
+    return Found == Candidates.end() || Found->Target->TargetId != Id ? nullptr
+                                                                      : &*Found;
   }
 
   void sumOwnedWeights() {
@@ -120,18 +126,11 @@
            Left.OwnedWeight * Right.Capacity;
   }
 
-  [[nodiscard]] double totalWeight() const {
-    return std::accumulate(Weights.begin(), Weights.end(), 0.0);
-  }
-
   //! Returns the total slot weight that the candidate should own.
   [[nodiscard]] double shareOf(const candidate &Candidate) const {
-    double TotalCapacity = 0;
-    for (const candidate &Each : Candidates)
-      TotalCapacity += Each.MayReceive ? Each.Capacity : 0;
-    return TotalCapacity == 0
+    return ReceivingCapacity == 0
                ? 0
-               : totalWeight() * Candidate.Capacity / TotalCapacity;
+               : TotalWeight * Candidate.Capacity / ReceivingCapacity;
   }
 
   //! Whether the last owner of a revoked slot starts no more work on it. An
@@ -201,7 +200,7 @@
     const bool ByLoad = Loads.hasLoads(Service.Name, Now);
     const std::uint32_t MaxMoves =
         ByLoad ? Limits.LoadMovesInFlight : Limits.MovesInFlight;
-    const double Average = totalWeight() / static_cast<double>(Table->size());
+    const double Average = TotalWeight / static_cast<double>(Table->size());
     for (std::uint32_t Remaining =
              MaxMoves > SlotsRevoking ? MaxMoves - SlotsRevoking : 0;
          Remaining > 0; --Remaining)
@@ -261,26 +260,24 @@
   }
 
   void emitActivations(std::vector<wire::command> &Commands) {
-    for (const candidate &Each : Candidates) {
-      const auto &Id = Each.Target->TargetId;
-      const std::uint64_t TakenIndex = Leases.takenIndex(*Each.Target);
-      if (!hasGrantToActivate(Id, TakenIndex))
+    std::set<std::string_view> Emitted;
+    for (const slot_ownership &Slot : *Table) {
+      if (Slot.Phase != slot_phase::Granted || Emitted.contains(Slot.Owner))
         continue;
+      const candidate *Owner = findCandidate(Slot.Owner);
+      if (!Owner)
+        continue;
+      const std::uint64_t TakenIndex = Leases.takenIndex(*Owner->Target);
+      if (Slot.ChangedIndex > TakenIndex)
+        continue;
+      Emitted.insert(Slot.Owner);
       auto *Activate = Commands.emplace_back().mutable_activate_slots();
       Activate->set_service(Service.Name);
-      Activate->set_target_id(Id);
+      Activate->set_target_id(Slot.Owner);
       Activate->set_taken_index(TakenIndex);
     }
   }
 
-  bool hasGrantToActivate(std::string_view Id, std::uint64_t TakenIndex) const {
-    return std::any_of(
-        Table->begin(), Table->end(), [&](const slot_ownership &Slot) {
-          return Slot.Phase == slot_phase::Granted && Slot.Owner == Id &&
-                 Slot.ChangedIndex <= TakenIndex;
-        });
-  }
-
   const cluster_state &State;
   const lease_table &Leases;
   const load_table &Loads;
@@ -288,10 +285,12 @@
   const service &Service;
   mono_time Now;
   std::shared_ptr<const slot_table> Table;
-  std::vector<candidate> Candidates;
+  std::vector<candidate> Candidates; //!< Ordered by target id.
+  double ReceivingCapacity = 0; //!< Of all candidates that may receive slots.
   //! The candidate that received the latest slot, or null.
   candidate *Receiver = nullptr;
   std::vector<double> Weights; //!< By slot number.
+  double TotalWeight = 0;
   //! Slots that this plan moves to another owner.
   std::set<std::uint32_t> MovedSlots;
   std::uint32_t SlotsRevoking = 0; //!< Number of slots being revoked.
