--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -1,8 +1,7 @@
 #include "pomeloswitch/admission/rate_ledger.hpp"
 
 #include <algorithm>
-#include <string_view>
-#include <unordered_set>
+#include <utility>
 
 namespace pomelo {
 
@@ -134,29 +133,42 @@
 }
 
 quota_grant rate_ledger::grantAll(const host_incarnation &Host,
-                                  const host_record &Record,
+                                  host_record &Record,
                                   const quota_report &Report, mono_time Now) {
   quota_grant Grant;
   Grant.Term = Term;
   Grant.Epoch = Record.Epoch;
   Grant.KeepHeld = !TakeoverDone || !Record.Inherited;
-  std::unordered_set<std::string_view> ReportedAccounts;
-  for (const account_report &Each : Report.Accounts)
-    ReportedAccounts.insert(Each.Account);
+  // If the rate is not divided, hosts hold only tokens from the earlier leader,
+  // which became invalid with it or came out of its bucket.
+  const auto MayGrant = [&](const account_ledger &Ledger) {
+    return !Grant.KeepHeld || (!Ledger.isShared() && Record.Inherited);
+  };
   // A host may still hold an earlier grant of an account that it no longer
   // reports; that grant is revoked.
-  for (auto &Entry : Ledgers) {
-    account_ledger &Ledger = Entry.second;
-    // If the rate is not divided, hosts hold only tokens from the earlier
-    // leader, which became invalid with it or came out of its bucket.
-    if (Grant.KeepHeld && (Ledger.isShared() || !Record.Inherited))
+  std::set<std::string, std::less<>> Unreported =
+      std::exchange(Record.HeldAccounts, {});
+  for (const account_report &Each : Report.Accounts) {
+    Unreported.erase(Each.Account);
+    const auto Ledger = Ledgers.find(Each.Account);
+    if (Ledger == Ledgers.end())
       continue;
-    const bool Reported = ReportedAccounts.contains(Entry.first);
-    if (!Reported)
-      Ledger.setIdle(Host);
-    if (Reported || Ledger.hasHoldings(Host))
+    Record.HeldAccounts.insert(Each.Account);
+    if (MayGrant(Ledger->second))
       Grant.Accounts.push_back(
-          Ledger.grant(Host, Entry.first, NextGrantOrEpochId, Now));
+          Ledger->second.grant(Host, Each.Account, NextGrantOrEpochId, Now));
+  }
+  for (const std::string &Account : Unreported) {
+    const auto Ledger = Ledgers.find(Account);
+    if (Ledger == Ledgers.end())
+      continue;
+    Ledger->second.setIdle(Host);
+    if (!Ledger->second.hasHoldings(Host))
+      continue;
+    Record.HeldAccounts.insert(Account);
+    if (MayGrant(Ledger->second))
+      Grant.Accounts.push_back(
+          Ledger->second.grant(Host, Account, NextGrantOrEpochId, Now));
   }
   return Grant;
 }
--- a/src/pomeloswitch/admission/rate_ledger.hpp
+++ b/src/pomeloswitch/admission/rate_ledger.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
     std::uint64_t Sequence = 0;
     mono_time AnsweredAt;
     bool Inherited = false; //!< Its holdings are known in this term.
+    //! Accounts of which it may hold something.
+    std::set<std::string, std::less<>> HeldAccounts;
   };
 
   void expireHosts(mono_time Now);
@@ -54,7 +57,7 @@
   void endTakeover(bool AllReported, mono_time Now);
   void processReport(const host_incarnation &Host, host_record &Record,
                      const quota_report &Report, mono_time Now);
-  quota_grant grantAll(const host_incarnation &Host, const host_record &Record,
+  quota_grant grantAll(const host_incarnation &Host, host_record &Record,
                        const quota_report &Report, mono_time Now);
 
   lease_times Times;
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -22,6 +23,23 @@
 constexpr auto RecordsPollInterval = std::chrono::milliseconds(10);
 constexpr auto RecordsTimeout = std::chrono::seconds(2);
 
+//! Adds the response times that differ from those in \p Reported, if any.
+void addChangedSpeeds(const traffic_thread::load_report &Latest,
+                      const traffic_thread::load_report *Reported,
+                      wire::heartbeat &Heartbeat) {
+  for (const auto &[TargetId, Seconds] : Latest.ResponseSeconds) {
+    if (Reported) {
+      const auto Earlier = Reported->ResponseSeconds.find(TargetId);
+      if (Earlier != Reported->ResponseSeconds.end() &&
+          Earlier->second == Seconds)
+        continue;
+    }
+    auto *Speed = Heartbeat.add_speeds();
+    Speed->set_target_id(TargetId);
+    Speed->set_seconds(static_cast<float>(Seconds));
+  }
+}
+
 std::uint64_t currentIncarnation() {
   return static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
@@ -211,20 +229,17 @@
     Latest.push_back(Thread->loads());
   if (Latest == ReportedLoads)
     return;
-  ReportedLoads = std::move(Latest);
+  ReportedLoads.resize(Latest.size());
   std::map<std::string, std::map<std::uint32_t, float>> Sums;
-  for (const auto &Report : ReportedLoads) {
-    if (!Report)
+  for (std::size_t Thread = 0; Thread < Latest.size(); ++Thread) {
+    if (!Latest[Thread])
       continue;
-    for (const auto &[Service, Rates] : Report->Rates)
+    for (const auto &[Service, Rates] : Latest[Thread]->Rates)
       for (const slot_rate &Rate : Rates)
         Sums[Service][Rate.Slot] += Rate.PerSecond;
-    for (const auto &[TargetId, Seconds] : Report->ResponseSeconds) {
-      auto *Speed = Heartbeat.add_speeds();
-      Speed->set_target_id(TargetId);
-      Speed->set_seconds(static_cast<float>(Seconds));
-    }
+    addChangedSpeeds(*Latest[Thread], ReportedLoads[Thread].get(), Heartbeat);
   }
+  ReportedLoads = std::move(Latest);
   for (const auto &[Service, Rates] : Sums) {
     auto *Load = Heartbeat.add_loads();
     Load->set_service(Service);
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
-constexpr auto LoadsInterval = std::chrono::milliseconds(500);
+constexpr auto LoadsInterval = std::chrono::milliseconds(1000);
 
 } // namespace
 
--- a/src/pomeloswitch/ownership/load_table.cpp
+++ b/src/pomeloswitch/ownership/load_table.cpp
@@ -39,7 +39,7 @@
     auto &Rates = Host.Rates[Load.service()];
     const int Count = std::min(Load.slots_size(), Load.per_second_size());
     for (int Index = 0; Index < Count; ++Index)
-      Rates[Load.slots(Index)] = Load.per_second(Index);
+      Rates.emplace_back(Load.slots(Index), Load.per_second(Index));
   }
 }
 
--- a/src/pomeloswitch/ownership/load_table.hpp
+++ b/src/pomeloswitch/ownership/load_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pomelo::wire {
@@ -39,7 +40,10 @@
 private:
   struct host_loads {
     mono_time HeardAt{};
-    std::map<std::string, std::map<std::uint32_t, float>, std::less<>> Rates;
+    //! Slot numbers and requests per second, by service.
+    std::map<std::string, std::vector<std::pair<std::uint32_t, float>>,
+             std::less<>>
+        Rates;
   };
   std::map<std::string, host_loads, std::less<>> Hosts;
   std::map<std::string, double, std::less<>> SecondsByTarget;
