--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/admission/account_bucket.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelo {
 namespace {
@@ -28,6 +29,7 @@
   if (Now < ValidUntil)
     return;
   RatePerSecond = Depth = Level = 0;
+  Unreported |= heldBurst() > 0;
   BurstSpent = BurstTotal - BurstReturned;
 }
 
@@ -40,6 +42,7 @@
   if (heldBurst() < 1)
     return false;
   BurstSpent += 1;
+  Unreported = true;
   return true;
 }
 
@@ -95,6 +98,7 @@
   const std::lock_guard Lock(Mutex);
   update(Now);
   const bool Lowered = Grant.RatePerSecond < RatePerSecond;
+  Unreported |= Grant.GrantId != GrantId || Grant.BurstTotal != BurstTotal;
   GrantId = Grant.GrantId;
   RatePerSecond = Grant.RatePerSecond;
   Depth = Grant.Depth;
@@ -103,7 +107,6 @@
   SurplusSeen = Grant.SurplusSeen;
   Exhausted = LeaderInformed && Grant.Exhausted;
   Decided = LeaderInformed;
-  Unreported = true;
   ValidUntil = Until;
   AnsweredAt = Now;
   return Lowered;
@@ -137,6 +140,13 @@
   Surplus += Returned;
 }
 
+//! Returns the whole tokens that are likely to be needed before the next
+//! report; a part of a token admits no request.
+double account_bucket::expectedShortfall(double DemandNow) const {
+  return std::floor(std::max(0.0, DemandNow - RatePerSecond) *
+                    LookAheadSeconds);
+}
+
 account_report account_bucket::report(time_point Now) {
   const std::lock_guard Lock(Mutex);
   update(Now);
@@ -153,9 +163,8 @@
   Report.BurstSpent = BurstSpent;
   Report.BurstReturned = BurstReturned;
   Report.Surplus = Surplus;
-  const double ExpectedShortfall =
-      std::max(0.0, Report.Demand - RatePerSecond) * LookAheadSeconds;
-  Report.Wanted = std::max(0.0, Waiting + ExpectedShortfall - heldBurst());
+  Report.Wanted =
+      std::max(0.0, Waiting + expectedShortfall(Report.Demand) - heldBurst());
   return Report;
 }
 
@@ -163,7 +172,7 @@
   const std::lock_guard Lock(Mutex);
   update(Now);
   return !Unreported && Waiting == 0 && RatePerSecond == 0 && Depth == 0 &&
-         heldBurst() <= 0 && Demand.rate(Now) < MinDemand;
+         heldBurst() <= 0 && expectedShortfall(Demand.rate(Now)) == 0;
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -62,6 +62,7 @@
 
 private:
   void update(time_point Now);
+  [[nodiscard]] double expectedShortfall(double DemandNow) const;
   void giveBackUnused(double DemandNow);
   bool take(time_point Now);
 
@@ -77,8 +78,10 @@
   double Surplus = 0;     //!< Unused rate returned, requests.
   double SurplusSeen = 0; //!< Surplus confirmed by the leader.
   bool Exhausted = false;
-  bool Decided = false;    //!< The leader has decided in this epoch.
-  bool Unreported = false; //!< The latest grant is not yet reported.
+  bool Decided = false; //!< The leader has decided in this epoch.
+  //! Whether the leader needs another report to know the latest grant in use
+  //! and the burst tokens spent.
+  bool Unreported = false;
   unsigned Waiting = 0;
   demand_meter Demand;
   time_point UpdatedAt{};
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -43,6 +43,14 @@
       Quota.apply(Report.Sequence, *Grant, Now + Lease, Now);
   }
 
+  //! Registers more hosts, until the rate is too low to be divided among all.
+  void registerHosts(unsigned Count) {
+    for (unsigned Number = 0; Number < Count; ++Number) {
+      const std::string Id = "other" + std::to_string(Number);
+      Registered[Id] = {Id, 1, "d"};
+    }
+  }
+
   void arrive(host_quota &Quota, unsigned Count) {
     for (unsigned Number = 0; Number < Count; ++Number)
       Quota.bucket("acc").admitArrival(Now);
@@ -99,6 +107,24 @@
   EXPECT_GT(B.report(Now).Accounts.at(0).RatePerSecond, Rate * 0.9);
 }
 
+TEST_F(quota_rules, account_that_is_used_no_more_is_reported_no_more) {
+  registerHosts(100);
+  Now += seconds(1);
+  exchange("b", B);
+  arrive(A, 1);
+  ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+  exchange("a", A);
+  ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
+  A.bucket("acc").endWait();
+  // A token that is kept for the next request is given back within a second.
+  for (unsigned Round = 0; Round < 6; ++Round) {
+    Now += milliseconds(200);
+    exchange("a", A);
+  }
+  EXPECT_TRUE(A.report(Now).Accounts.empty());
+  EXPECT_EQ(Ledger.find("acc")->stored(), Burst);
+}
+
 TEST_F(quota_rules, rate_of_a_silent_host_is_free_once_its_lease_surely_ended) {
   exchange("b", B);
   occupy("a", A);
