--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -8,12 +8,14 @@
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <random>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -23,7 +25,8 @@
 constexpr milliseconds TickInterval{20};
 //! From one plan to the next if none of the inputs has changed but time.
 constexpr milliseconds PlanInterval{100};
-//! Entries committed within this time travel to an entry host in one message.
+//! Entries committed within this time travel to an entry host in one message,
+//! unless one of them is urgent.
 constexpr milliseconds LogInterval{40};
 //! A longer gap between ticks means that this process was stalled.
 constexpr milliseconds StallThreshold{500};
@@ -58,6 +61,24 @@
   return (std::uint64_t{Device()} << 32) | Device();
 }
 
+//! Whether entry hosts should learn of the command at once: what they may do
+//! has been restricted, or an operator waits for it to be in force.
+bool isUrgent(const wire::command &Command) {
+  switch (Command.body_case()) {
+  case wire::command::kSetInventory:
+  case wire::command::kSetRules:
+  case wire::command::kIssueKey:
+  case wire::command::kWithdrawKey:
+  case wire::command::kSetDrain:
+  case wire::command::kReplaceConfiguration:
+  case wire::command::kTargetLeaving:
+  case wire::command::kReportCrash:
+    return true;
+  default:
+    return false;
+  }
+}
+
 lease_times leaseTimesOf(const control_settings &Settings) {
   lease_times Times;
   Times.HostLease = milliseconds(Settings.HostLeaseMs);
@@ -200,6 +221,19 @@
     Leases.resetWarmReports(Command.set_drain().name());
   if (Results.size() > MaxRetainedResults)
     Results.erase(Results.begin());
+  LogUrgent |= isUrgent(Command);
+  scheduleSendLog();
+}
+
+//! Sends once for all entries that are applied together. What may not be sent
+//! yet is sent by a later tick.
+void control_host::scheduleSendLog() {
+  if (std::exchange(SendLogScheduled, true))
+    return;
+  boost::asio::post(Io, [this] {
+    SendLogScheduled = false;
+    sendLogToAll(steady_clock::now());
+  });
 }
 
 //! Only the leader logs: every control host applies the same changes.
@@ -352,9 +386,10 @@
 }
 
 void control_host::sendLogToAll(mono_time Now) {
-  if (Now - LogSentAt < LogInterval)
+  if (!std::exchange(LogUrgent, false) && Now - LogSentAt < LogInterval)
     return;
-  LogSentAt = Now;
+  if (std::exchange(LogSentIndex, State.index()) != State.index())
+    LogSentAt = Now;
   for (const auto &[Link, Session] : Sessions)
     if (Session->NextIndex > 0)
       sendLog(*Link, *Session);
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -81,6 +81,7 @@
                   const wire::proposal &Proposal);
   void sendLog(peer_link &Link, session &Session);
   void sendLogToAll(mono_time Now);
+  void scheduleSendLog();
   void tick();
   void lead(mono_time Now);
   [[nodiscard]] bool planDue(mono_time Now) const;
@@ -114,8 +115,11 @@
   std::size_t PlannedInFlight = 0;
   std::uint64_t PlannedIndex = 0; //!< State index of the latest plan.
   mono_time PlannedAt{};
-  bool PlanInputsChanged = true; //!< Since the latest plan.
-  mono_time LogSentAt{};
+  bool PlanInputsChanged = true;  //!< Since the latest plan.
+  std::uint64_t LogSentIndex = 0; //!< Latest index sent to all hosts.
+  mono_time LogSentAt{};          //!< When it was sent.
+  bool SendLogScheduled = false;
+  bool LogUrgent = false; //!< The log has an urgent entry that was not sent.
   mono_time LastTickAt{};
   mono_time ActivityLoggedAt{};
 };
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -158,6 +158,8 @@
       {"lease_left_ms", millisecondsOf(Context.RoutingLease.remaining())},
       {"took_ms", millisecondsOf(Now - StartedAt)},
       {"attempts", AttemptLog}};
+  if (AdmittedAt)
+    Fields["admitted_ms"] = millisecondsOf(*AdmittedAt - StartedAt);
   if (Slot)
     Fields["slot"] = *Slot;
   if (CallerDisconnected)
@@ -180,6 +182,7 @@
     if (Plan.RateLimited)
       co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
   }
+  AdmittedAt = steady_clock::now();
   Context.Retries.earn(Plan.Service, View->EntryHosts);
   co_await continueIfExpected();
   co_await Body.readPrefix();
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -88,6 +88,8 @@
   boost::json::array AttemptLog;     //!< Log fields of each attempt.
   std::chrono::steady_clock::time_point StartedAt =
       std::chrono::steady_clock::now();
+  //! When the account's rate admitted the request.
+  std::optional<std::chrono::steady_clock::time_point> AdmittedAt;
   std::vector<std::string> TriedTargets;
   bool CallerKeepAlive = true;
   bool CallerDisconnected = false;
