--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
+#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -272,6 +273,8 @@
   }
   case wire::envelope::kProposal:
     return onProposal(Link, Message.proposal());
+  case wire::envelope::kForwardedReports:
+    return onForwardedReports(Message.forwarded_reports());
   case wire::envelope::kRaft:
     return Log->deliver(Link, Message.raft());
   default:
@@ -334,8 +337,18 @@
 
 bool control_host::targetHeard(target_status Status) {
   const activity_meter::timer Timer(Activity, HandleTargetReport);
-  if (!Log->leadershipConfirmed())
+  if (Log->leadershipConfirmed()) {
+    recordTarget(std::move(Status));
+    return true;
+  }
+  if (Status.Announced.Leaving || !Log->leaderReachable())
     return false;
+  std::string Id = Status.Announced.TargetId;
+  ReportsToForward.insert_or_assign(std::move(Id), std::move(Status));
+  return true;
+}
+
+void control_host::recordTarget(target_status Status) {
   Status.HeardAt = steady_clock::now();
   Leases.targetHeard(Status, Log->commitIndex());
   const auto Member = State.targets().find(Status.Announced.TargetId);
@@ -344,7 +357,33 @@
       Member->second.Incarnation != Status.Announced.Incarnation ||
       Member->second.Leaving != Status.Announced.Leaving ||
       Member->second.Cold != Status.Announced.Cold;
-  return true;
+}
+
+void control_host::onForwardedReports(
+    const wire::forwarded_reports &Forwarded) {
+  const activity_meter::timer Timer(Activity, HandleTargetReport);
+  if (!Log->leadershipConfirmed())
+    return;
+  for (const wire::forwarded_report &Report : Forwarded.reports()) {
+    target_status Status;
+    Status.Announced = toMember(Report.target());
+    Status.Sequence = Report.sequence();
+    recordTarget(std::move(Status));
+  }
+}
+
+void control_host::forwardReports() {
+  if (ReportsToForward.empty())
+    return;
+  wire::envelope Message;
+  for (const auto &[Id, Status] : std::exchange(ReportsToForward, {})) {
+    auto *Report = Message.mutable_forwarded_reports()->add_reports();
+    *Report->mutable_target() = toMessage(Status.Announced);
+    Report->set_sequence(Status.Sequence);
+  }
+  const int Count = Message.forwarded_reports().reports_size();
+  if (!Log->sendToLeader(Message))
+    Logger.warn("Lost {} reports of targets: no leader can be reached.", Count);
 }
 
 void control_host::addQuotaGrant(const wire::heartbeat &Heartbeat,
@@ -430,6 +469,7 @@
       return;
     const mono_time Now = steady_clock::now();
     lead(Now);
+    forwardReports();
     sendLogToAll(Now);
     logActivity(Now);
     tick();
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -28,6 +28,7 @@
 
 namespace pomelo::wire {
 class envelope;
+class forwarded_reports;
 class heartbeat;
 class heartbeat_ack;
 class proposal;
@@ -43,8 +44,10 @@
   void start();
   void stop();
 
-  //! Records a target's status report if this host is the confirmed leader.
-  //! Returns whether it is; only then may the report be acknowledged.
+  //! Records a target's status report if this host is the confirmed leader, or
+  //! forwards it to the leader. Returns false if there is none to be reached,
+  //! or if a follower was told that the target is leaving: that must be
+  //! committed before it is acknowledged.
   bool targetHeard(target_status Status);
 
   //! Returns the bound addresses as a JSON object.
@@ -77,6 +80,9 @@
                    const wire::heartbeat &Heartbeat);
   void addQuotaGrant(const wire::heartbeat &Heartbeat, mono_time Now,
                      wire::heartbeat_ack &Ack);
+  void recordTarget(target_status Status);
+  void onForwardedReports(const wire::forwarded_reports &Forwarded);
+  void forwardReports();
   void onProposal(const std::shared_ptr<peer_link> &Link,
                   const wire::proposal &Proposal);
   void sendLog(peer_link &Link, session &Session);
@@ -107,6 +113,8 @@
   std::unique_ptr<target_caller> Caller; //!< Null if targets are not called.
   std::uint64_t OrderTerm = 0; //!< Recognizes results of earlier terms.
   std::map<std::uint64_t, apply_result> Results;
+  //! Reports that the next tick forwards to the leader, by target id.
+  std::map<std::string, target_status> ReportsToForward;
   std::map<std::shared_ptr<peer_link>, std::unique_ptr<session>> Sessions;
   std::unique_ptr<peer_listener> Listener;
   std::unique_ptr<admin_api> Admin;
--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 
+#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <algorithm>
@@ -12,18 +13,7 @@
 
 wire::command joinTarget(const target_member &Announced) {
   wire::command Command;
-  auto *Joined = Command.mutable_target_joined();
-  Joined->set_target_id(Announced.TargetId);
-  Joined->set_incarnation(Announced.Incarnation);
-  Joined->set_service(Announced.Service);
-  Joined->set_failure_domain(Announced.FailureDomain);
-  Joined->set_address(Announced.Address);
-  Joined->set_slots(Announced.Slots);
-  Joined->set_connections(Announced.Connections);
-  Joined->set_checks_fence(Announced.ChecksFence);
-  Joined->set_started_unix_ms(Announced.StartedMs);
-  Joined->set_ordered_by_call(Announced.OrderedByCall);
-  Joined->set_cold(Announced.Cold);
+  *Command.mutable_target_joined() = toMessage(Announced);
   return Command;
 }
 
--- a/src/pomeloswitch/raft/local_log.hpp
+++ b/src/pomeloswitch/raft/local_log.hpp
@@ -20,6 +20,8 @@
   [[nodiscard]] bool leading() const override { return true; }
   [[nodiscard]] bool leadershipConfirmed() const override { return true; }
   [[nodiscard]] std::string leaderId() const override { return HostId; }
+  [[nodiscard]] bool leaderReachable() const override { return false; }
+  bool sendToLeader(const wire::envelope &) override { return false; }
   [[nodiscard]] std::uint64_t commitIndex() const override {
     return Entries.size();
   }
--- a/src/pomeloswitch/raft/peer_network.cpp
+++ b/src/pomeloswitch/raft/peer_network.cpp
@@ -87,6 +87,19 @@
   Found->second.SnapshotInFlight |= Message.has_snapshot_request();
 }
 
+bool peer_network::connectedTo(const std::string &PeerId) const {
+  const auto Found = Peers.find(PeerId);
+  return Found != Peers.end() && Found->second.Dialer &&
+         Found->second.Dialer->open();
+}
+
+bool peer_network::sendTo(const std::string &PeerId,
+                          const wire::envelope &Message) {
+  const auto Found = Peers.find(PeerId);
+  return Found != Peers.end() && Found->second.Dialer &&
+         Found->second.Dialer->send(Message);
+}
+
 void peer_network::receive(const std::shared_ptr<peer_link> &Link,
                            const wire::raft_message &Message) {
   Inbound[Message.from_host()] = Link;
--- a/src/pomeloswitch/raft/peer_network.hpp
+++ b/src/pomeloswitch/raft/peer_network.hpp
@@ -37,6 +37,12 @@
   //! there is no such link.
   void send(const wire::raft_message &Message, raft_time Now);
 
+  //! Whether the link dialed to \p PeerId is open.
+  [[nodiscard]] bool connectedTo(const std::string &PeerId) const;
+  //! Sends a message without an answer on the link dialed to \p PeerId. Returns
+  //! false if that link is not open.
+  bool sendTo(const std::string &PeerId, const wire::envelope &Message);
+
   //! Handles a message that arrived on \p Link, which the peer dialed.
   void receive(const std::shared_ptr<peer_link> &Link,
                const wire::raft_message &Message);
--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -72,6 +72,11 @@
   [[nodiscard]] raft_role role() const { return Role; }
   [[nodiscard]] std::uint64_t term() const { return Vote.term(); }
   [[nodiscard]] const std::string &leaderId() const { return LeaderId; }
+  //! Whether another host leads and was heard within the election timeout.
+  [[nodiscard]] bool followsLeader(raft_time Now) const {
+    return Role == raft_role::Follower && !LeaderId.empty() &&
+           Now - LastLeaderContact < Options.Times.ElectionMin;
+  }
   [[nodiscard]] std::uint64_t commitIndex() const { return Commit; }
   [[nodiscard]] const entry_log &log() const { return Log; }
   //! Returns whether this replica has never stored a vote, entry or snapshot.
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -272,6 +272,15 @@
   return Failed ? std::string() : Core.leaderId();
 }
 
+bool raft_log::leaderReachable() const {
+  return !Failed && !Stopped && Core.followsLeader(lease_clock::now()) &&
+         Network.connectedTo(Core.leaderId());
+}
+
+bool raft_log::sendToLeader(const wire::envelope &Message) {
+  return leaderReachable() && Network.sendTo(Core.leaderId(), Message);
+}
+
 std::uint64_t raft_log::commitIndex() const { return Core.commitIndex(); }
 
 std::optional<std::vector<committed_entry>>
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -52,6 +52,8 @@
   [[nodiscard]] bool leading() const override { return Leading; }
   [[nodiscard]] bool leadershipConfirmed() const override;
   [[nodiscard]] std::string leaderId() const override;
+  [[nodiscard]] bool leaderReachable() const override;
+  bool sendToLeader(const wire::envelope &Message) override;
   [[nodiscard]] std::uint64_t commitIndex() const override;
   [[nodiscard]] std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const override;
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -13,8 +13,9 @@
 #include <vector>
 
 namespace pomelo::wire {
+class envelope;
 class raft_message;
-}
+} // namespace pomelo::wire
 
 namespace pomelo {
 
@@ -84,6 +85,11 @@
   //! Returns the host id of the leader, or an empty string if unknown.
   [[nodiscard]] virtual std::string leaderId() const = 0;
   [[nodiscard]] virtual std::uint64_t commitIndex() const = 0;
+  //! Whether another host leads, was heard recently and has an open link.
+  [[nodiscard]] virtual bool leaderReachable() const = 0;
+  //! Sends \p Message to the leader. Returns false if it is not reachable;
+  //! after true the message may still be lost.
+  virtual bool sendToLeader(const wire::envelope &Message) = 0;
 
   //! Returns committed entries from index \p First on, stopping once their
   //! commands reach \p MaxBytes. Returns nullopt if the entry at \p First was
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/state/config_changes.hpp"
 #include "pomeloswitch/state/key_slot.hpp"
+#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <fmt/format.h>
@@ -17,38 +18,6 @@
 //! Number of results of operators' changes that are stored to answer resends.
 constexpr std::size_t MaxOperations = 20000;
 
-target_member toMember(const wire::target_joined &Joined) {
-  target_member Member;
-  Member.TargetId = Joined.target_id();
-  Member.Incarnation = Joined.incarnation();
-  Member.Service = Joined.service();
-  Member.FailureDomain = Joined.failure_domain();
-  Member.Address = Joined.address();
-  Member.Slots = Joined.slots();
-  Member.Connections = Joined.connections();
-  Member.ChecksFence = Joined.checks_fence();
-  Member.StartedMs = Joined.started_unix_ms();
-  Member.OrderedByCall = Joined.ordered_by_call();
-  Member.Cold = Joined.cold();
-  return Member;
-}
-
-wire::target_joined toMessage(const target_member &Member) {
-  wire::target_joined Joined;
-  Joined.set_target_id(Member.TargetId);
-  Joined.set_incarnation(Member.Incarnation);
-  Joined.set_service(Member.Service);
-  Joined.set_failure_domain(Member.FailureDomain);
-  Joined.set_address(Member.Address);
-  Joined.set_slots(Member.Slots);
-  Joined.set_connections(Member.Connections);
-  Joined.set_checks_fence(Member.ChecksFence);
-  Joined.set_started_unix_ms(Member.StartedMs);
-  Joined.set_ordered_by_call(Member.OrderedByCall);
-  Joined.set_cold(Member.Cold);
-  return Joined;
-}
-
 } // namespace
 
 cluster_state::cluster_state()
--- /dev/null
+++ b/src/pomeloswitch/state/target_codec.hpp
@@ -0,0 +1,16 @@
+//! Conversion of targets to and from the inner protocol.
+#ifndef POMELOSWITCH_STATE_TARGET_CODEC_HPP
+#define POMELOSWITCH_STATE_TARGET_CODEC_HPP
+
+#include "pomeloswitch/state/cluster_state.hpp"
+
+namespace pomelo {
+
+//! Whether the target is leaving and when it joined are not part of the
+//! message.
+[[nodiscard]] wire::target_joined toMessage(const target_member &Member);
+[[nodiscard]] target_member toMember(const wire::target_joined &Joined);
+
+} // namespace pomelo
+
+#endif
