--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -25,9 +25,14 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
+//! The class of the numeric status: the enumerated one is "unknown" for a code
+//! without a name, e.g. 103.
+http::status_class statusClassOf(const response_stream_parser &Response) {
+  return http::to_status_class(Response.get().result_int());
+}
+
 bool isInformational(const response_stream_parser &Response) {
-  return http::to_status_class(Response.get().result()) ==
-         http::status_class::informational;
+  return statusClassOf(Response) == http::status_class::informational;
 }
 
 bool isParseError(error_code Error) {
@@ -188,8 +193,8 @@
 }
 
 bool target_dispatch::answeredServerError() const {
-  return Response && http::to_status_class(Response->get().result()) ==
-                         http::status_class::server_error;
+  return Response &&
+         statusClassOf(*Response) == http::status_class::server_error;
 }
 
 bool target_dispatch::reusable() const {
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -99,7 +99,12 @@
                     "unknown"},
         script_case{"answers_after_an_interim_one", "/once",
                     writes("HTTP/1.1 100 Continue\r\n\r\n" + CompleteResponse),
-                    200}));
+                    200},
+        script_case{
+            "answers_after_an_interim_one_without_a_name", "/once",
+            writes("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 199 Soon\r\n\r\n" +
+                   CompleteResponse),
+            200}));
 
 INSTANTIATE_TEST_SUITE_P(
     idempotent, faulty_target,
