--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -54,13 +54,15 @@
   std::vector<std::string> Outcomes;
 };
 
-//! Defines the open-access routes /idempotent, /once and /keyed, and /claimed,
-//! which requires an account. The first target owns all keys.
+//! Defines the open-access routes /idempotent, /once and /keyed, /safe and
+//! /unsafe with a long deadline, and /claimed, which requires an account. The
+//! first target owns all keys.
 class traffic_fixture {
 public:
   //! Gives the service \p Members targets, all of them at \p Address.
   traffic_fixture(const boost::asio::ip::tcp::endpoint &Address,
-                  unsigned Members)
+                  unsigned Members,
+                  const target_dialect &Dialect = defaultDialect())
       : Key(deriveAccountKey(Secret, "1")),
         Context(Io, RoutingLease, Quota, Secret, "a", Dialect),
         Server(Context, {boost::asio::ip::address_v4::loopback(), 0}, {}) {
@@ -127,6 +129,10 @@
     {"name": "keyed", "path_prefix": "/keyed", "service": "k",
      "access": "open", "idempotent": true, "deadline_ms": 800,
      "key": {"from": "query", "name": "key"}},
+    {"name": "safe", "path_prefix": "/safe", "service": "s",
+     "access": "open", "idempotent": true, "deadline_ms": 4000},
+    {"name": "unsafe", "path_prefix": "/unsafe", "service": "s",
+     "access": "open", "deadline_ms": 4000},
     {"name": "claimed", "path_prefix": "/claimed", "service": "s",
      "deadline_ms": 2000}]})";
 
@@ -152,12 +158,16 @@
     return View;
   }
 
+  static const target_dialect &defaultDialect() {
+    static const pomelo_dialect Dialect;
+    return Dialect;
+  }
+
   static inline const std::string Secret = "cluster secret";
   new_account_key Key;
   boost::asio::io_context Io{1};
   routing_lease RoutingLease;
   host_quota Quota{[] {}};
-  pomelo_dialect Dialect;
   traffic_context Context;
   caller_server Server;
   std::thread Thread;
