--- a/src/pomeloswitch/http/upstream_pool.hpp
+++ b/src/pomeloswitch/http/upstream_pool.hpp
@@ -19,13 +19,16 @@
 
 using steady_time = std::chrono::steady_clock::time_point;
 
+//! Maximum size of unparsed input, e.g. of a chunk's size line or a trailer.
+inline constexpr std::size_t MaxUpstreamBufferBytes = 64 * 1024;
+
 //! One open connection to a target.
 struct upstream_connection {
   explicit upstream_connection(const boost::asio::any_io_executor &Executor)
       : Stream(Executor) {}
 
   boost::beast::tcp_stream Stream;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxUpstreamBufferBytes};
   //! When it was opened or last returned to the pool.
   steady_time LastActive{};
 };
