--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
+#include "pomeloswitch/http/limited_read.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -137,18 +138,21 @@
   Response.emplace();
   Response->body_limit(boost::none);
   Response->skip(ResponseHasNoBody);
-  error_code Error;
-  co_await http::async_read_header(Connection.Stream, Connection.Buffer,
-                                   *Response, redirect(Error));
+  const error_code Error = co_await readLimited(
+      Connection.Stream, Connection.Buffer, *Response, HeaderAllowance);
+  if (Error)
+    failRead(Error);
+  co_return !isInformational(*Response) ||
+      Response->get().result() == http::status::switching_protocols;
+}
+
+void target_dispatch::failRead(error_code Error) {
   if (Error == beast::error::timeout)
     fail(attempt_failure::TimedOut, "the target did not respond in time");
   if (isParseError(Error))
     fail(attempt_failure::ProtocolError, "the target's response is malformed");
-  if (Error)
-    fail(attempt_failure::ConnectionLost,
-         "the connection to the target was lost before its response");
-  co_return !isInformational(*Response) ||
-      Response->get().result() == http::status::switching_protocols;
+  fail(attempt_failure::ConnectionLost,
+       "the connection to the target was lost before its response");
 }
 
 //! Discards a late response to an earlier request; the response to this request
@@ -165,9 +169,7 @@
     co_await http::async_read_some(Connection.Stream, Connection.Buffer,
                                    *Response, redirect(Error));
     if (Error && Error != http::error::need_buffer)
-      fail(Error == beast::error::timeout ? attempt_failure::TimedOut
-                                          : attempt_failure::ConnectionLost,
-           "the target did not complete a response to another request");
+      failRead(Error);
   }
 }
 
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -16,6 +16,9 @@
 
 namespace pomelo {
 
+//! Maximum size of all headers that a target sends for one request.
+inline constexpr std::size_t MaxResponseHeaderBytes = 64 * 1024;
+
 //! How much of the request the target may have processed, in ascending order.
 enum class attempt_progress {
   NothingSent, //!< No byte was sent, or the target stated that it did not run
@@ -70,6 +73,7 @@
   boost::asio::awaitable<void> streamBody(const request_header &Header,
                                           std::uint64_t MaxBodyBytes);
   boost::asio::awaitable<bool> readHeader();
+  [[noreturn]] void failRead(boost::system::error_code Error);
   boost::asio::awaitable<void> discardResponse();
   void checkResponse();
   [[noreturn]] void fail(attempt_failure Cause, const std::string &Reason);
@@ -80,6 +84,9 @@
   std::string_view RequestId;
   response_metadata Metadata;
   std::optional<response_stream_parser> Response;
+  //! What may still be read of headers, including those of interim responses
+  //! and of responses to other requests.
+  std::size_t HeaderAllowance = MaxResponseHeaderBytes;
   attempt_progress Progress = attempt_progress::NothingSent;
   attempt_failure FailureCause = attempt_failure::None;
   bool ResponseHasNoBody = false; //!< The request was a HEAD.
