--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -166,10 +166,14 @@
     Response->get().body().data = Discarded.data();
     Response->get().body().size = Discarded.size();
     error_code Error;
-    co_await http::async_read_some(Connection.Stream, Connection.Buffer,
-                                   *Response, redirect(Error));
+    const std::size_t Count = co_await http::async_read_some(
+        Connection.Stream, Connection.Buffer, *Response, redirect(Error));
     if (Error && Error != http::error::need_buffer)
       failRead(Error);
+    if (Count > DiscardAllowance)
+      fail(attempt_failure::ProtocolError,
+           "the target's response to another request is too long");
+    DiscardAllowance -= Count;
   }
 }
 
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -19,6 +19,10 @@
 //! Maximum size of all headers that a target sends for one request.
 inline constexpr std::size_t MaxResponseHeaderBytes = 64 * 1024;
 
+//! Maximum size of the late responses to other requests that are discarded
+//! while the response to one request is awaited.
+inline constexpr std::size_t MaxDiscardedBytes = 1024 * 1024;
+
 //! How much of the request the target may have processed, in ascending order.
 enum class attempt_progress {
   NothingSent, //!< No byte was sent, or the target stated that it did not run
@@ -87,6 +91,8 @@
   //! What may still be read of headers, including those of interim responses
   //! and of responses to other requests.
   std::size_t HeaderAllowance = MaxResponseHeaderBytes;
+  //! What may still be read of the bodies of responses to other requests.
+  std::size_t DiscardAllowance = MaxDiscardedBytes;
   attempt_progress Progress = attempt_progress::NothingSent;
   attempt_failure FailureCause = attempt_failure::None;
   bool ResponseHasNoBody = false; //!< The request was a HEAD.
