--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -512,9 +512,8 @@
 asio::awaitable<void> exchange::relayResponse(pooled_connection &Connection,
                                               target_dispatch &Dispatch) {
   CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
-  Connection->Stream.expires_at(Plan.Deadline);
   response_relay Relay(Caller, *Connection, Dispatch.response(),
-                       Context.Dialect);
+                       Context.Dialect, Plan.Deadline);
   if (Claim.ownsClaim())
     Relay.enableCopy();
   co_await Relay.run(CallerKeepAlive);
--- a/src/pomeloswitch/http/response_relay.cpp
+++ b/src/pomeloswitch/http/response_relay.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 
 namespace pomelo {
 namespace {
@@ -29,9 +31,12 @@
 response_relay::response_relay(boost::beast::tcp_stream &Caller,
                                upstream_connection &Connection,
                                response_stream_parser &Response,
-                               const target_dialect &Dialect)
+                               const target_dialect &Dialect,
+                               steady_time Deadline)
     : Caller(Caller), Connection(Connection), Response(Response),
-      Dialect(Dialect) {}
+      Dialect(Dialect), Deadline(Deadline) {
+  Connection.Stream.expires_at(Deadline);
+}
 
 void response_relay::enableCopy() {
   Copy.emplace();
@@ -53,7 +58,7 @@
   Message.body().data = nullptr;
   Message.body().more = HasBody;
   serializer Serializer(Message);
-  Caller.expires_after(CallerProgressTimeout);
+  limitWrite();
   co_await writeHeader(Serializer);
   while (!Response.is_done()) {
     const std::span<char> Piece = co_await readPiece();
@@ -70,7 +75,17 @@
   checkCaller(Error);
 }
 
+//! Until the response has been read, a caller that reads slowly must not occupy
+//! the target for longer than the deadline.
+void response_relay::limitWrite() {
+  const auto Latest = std::chrono::steady_clock::now() + CallerProgressTimeout;
+  Caller.expires_at(Response.is_done() ? Latest : std::min(Latest, Deadline));
+}
+
 asio::awaitable<std::span<char>> response_relay::readPiece() {
+  // The stream's own timeout does not end a read that finds input waiting.
+  if (std::chrono::steady_clock::now() >= Deadline)
+    throw boost::system::system_error(boost::beast::error::timeout);
   Chunk.resize(RelayChunkBytes);
   Response.get().body().data = Chunk.data();
   Response.get().body().size = Chunk.size();
@@ -93,7 +108,7 @@
   Message.body().data = Piece.empty() ? nullptr : Piece.data();
   Message.body().size = Piece.size();
   Message.body().more = !Last;
-  Caller.expires_after(CallerProgressTimeout);
+  limitWrite();
   error_code Error;
   co_await http::async_write(Caller, Serializer, redirect(Error));
   if (Error != http::error::need_buffer)
--- a/src/pomeloswitch/http/response_relay.hpp
+++ b/src/pomeloswitch/http/response_relay.hpp
@@ -24,14 +24,15 @@
   response_relay(boost::beast::tcp_stream &Caller,
                  upstream_connection &Connection,
                  response_stream_parser &Response,
-                 const target_dialect &Dialect);
+                 const target_dialect &Dialect, steady_time Deadline);
 
   //! Records a copy of the response for later requests with the same
   //! Idempotency-Key. The response is then read to its end even if the caller
   //! disconnects.
   void enableCopy();
 
-  //! Relays until the end of the response. \p KeepAlive sets the keep-alive
+  //! Relays until the end of the response, which must have been read by the
+  //! deadline. \p KeepAlive sets the keep-alive
   //! header that is sent to the caller.
   //! \throws boost::system::system_error if the target's connection fails, or
   //! the caller's does and no copy is recorded. The caller's connection must
@@ -53,6 +54,7 @@
   boost::asio::awaitable<void>
   writePiece(message &Message, serializer &Serializer, std::span<char> Piece);
   boost::asio::awaitable<void> writeHeader(serializer &Serializer);
+  void limitWrite();
   void checkCaller(boost::system::error_code Error);
   void copyPiece(std::span<const char> Piece);
 
@@ -60,6 +62,7 @@
   upstream_connection &Connection;
   response_stream_parser &Response;
   const target_dialect &Dialect;
+  steady_time Deadline;
   std::vector<char> Chunk;
   std::optional<kept_answer> Copy;
   bool CallerDisconnected = false;
