--- a/tests/platform/platform_target_caller_test.cpp
+++ b/tests/platform/platform_target_caller_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_target_caller.hpp"
 
+#include "http/endless_bytes.hpp"
 #include "http/scripted_target.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -92,5 +93,62 @@
                     stray_case{"after_the_next_call", milliseconds(20)}),
     [](const auto &Case) { return Case.param.Name; });
 
+class endless_answer : public testing::TestWithParam<endless_bytes> {};
+
+//! Calls are given up before their timeout, so that the outcome tells that the
+//! answer cannot be read.
+TEST_P(endless_answer, leaves_unknown_whether_a_call_was_carried_out) {
+  for (const order_kind Kind : {order_kind::Grant, order_kind::Release}) {
+    endless_sender Sender;
+    scripted_target Target(
+        [&Sender](scripted_connection &Connection, unsigned) {
+          if (!Connection.readRequest().empty())
+            Sender.run(Connection, GetParam());
+        });
+    boost::asio::io_context Io;
+    platform_target_caller Caller(Io);
+    EXPECT_EQ(callTarget(Io, Caller, makeOrder(Target, Kind)).Outcome,
+              order_outcome::ConnectionBroken);
+    for (int Step = 0; Step < 200 && !Sender.closed(); ++Step)
+      std::this_thread::sleep_for(milliseconds(5));
+    EXPECT_TRUE(Sender.closed());
+    EXPECT_LT(Sender.sent(), MaxUnreadBytes);
+  }
+}
+
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+const std::string HugeLength = "Content-Length: 1000000000000\r\n\r\n";
+const std::string Field = "X-More: " + filler(1000) + "\r\n";
+//! Ends in the first byte of the next field. Small enough for one read.
+const std::string CutField = "-More: " + filler(100) + "\r\nX";
+
+INSTANTIATE_TEST_SUITE_P(
+    each_kind, endless_answer,
+    testing::Values(
+        endless_bytes{"status_line", "HTTP/1.1 200 ", filler(LargePieceBytes)},
+        endless_bytes{"header_line", Ok + "X-Long: ", filler(LargePieceBytes)},
+        endless_bytes{"header_fields", Ok, repeated(Field, LargePieceBytes)},
+        endless_bytes{"header_fields_cut_after_a_byte", Ok + "X", CutField,
+                      milliseconds(1)},
+        endless_bytes{"garbage", "", filler(LargePieceBytes)},
+        endless_bytes{"length", Ok + HugeLength, filler(1000), milliseconds(1)},
+        // Within the library's own limit of 8 MiB.
+        endless_bytes{"length_of_5_MB", Ok + "Content-Length: 5000000\r\n\r\n",
+                      filler(1000), milliseconds(1)},
+        endless_bytes{"chunks", Ok + Chunked, chunk(LargePieceBytes)},
+        endless_bytes{"slow_chunks", Ok + Chunked, chunk(1000),
+                      milliseconds(1)},
+        endless_bytes{"chunk_extension", Ok + Chunked + "1;",
+                      filler(LargePieceBytes)},
+        endless_bytes{"trailer", Ok + Chunked + "0\r\n",
+                      repeated(Field, LargePieceBytes)},
+        endless_bytes{"until_the_close", Ok + "\r\n", filler(1000),
+                      milliseconds(1)},
+        endless_bytes{"refusal_until_the_close",
+                      "HTTP/1.1 409 Conflict\r\n\r\n", filler(1000),
+                      milliseconds(1)}),
+    [](const auto &Case) { return Case.param.Name; });
+
 } // namespace
 } // namespace pomelo::platform
