--- a/tests/platform/platform_target_caller_test.cpp
+++ b/tests/platform/platform_target_caller_test.cpp
@@ -122,6 +122,7 @@
 const std::string Field = "X-More: " + filler(1000) + "\r\n";
 //! Ends in the first byte of the next field. Small enough for one read.
 const std::string CutField = "-More: " + filler(100) + "\r\nX";
+const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
 
 INSTANTIATE_TEST_SUITE_P(
     each_kind, endless_answer,
@@ -131,6 +132,11 @@
         endless_bytes{"header_fields", Ok, repeated(Field, LargePieceBytes)},
         endless_bytes{"header_fields_cut_after_a_byte", Ok + "X", CutField,
                       milliseconds(1)},
+        endless_bytes{"interim_responses", "",
+                      repeated(Interim, LargePieceBytes)},
+        endless_bytes{"single_interim_responses", "",
+                      "HTTP/1.1 103 Early\r\n" + Field + "\r\n",
+                      milliseconds(1)},
         endless_bytes{"garbage", "", filler(LargePieceBytes)},
         endless_bytes{"length", Ok + HugeLength, filler(1000), milliseconds(1)},
         // Within the library's own limit of 8 MiB.
@@ -150,5 +156,24 @@
                       milliseconds(1)}),
     [](const auto &Case) { return Case.param.Name; });
 
+//! Guards against the answer that follows an interim one being taken for the
+//! answer to the next grant on the same connection.
+TEST(platform_target_caller, takes_no_interim_response_for_the_answer) {
+  scripted_target Target([](scripted_connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.write(Interim);
+    std::this_thread::sleep_for(milliseconds(50));
+    Connection.write("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    Connection.readRequest();
+    Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    Connection.awaitEnd();
+  });
+  boost::asio::io_context Io;
+  platform_target_caller Caller(Io);
+  const target_order Order = makeOrder(Target, order_kind::Grant);
+  EXPECT_EQ(callTarget(Io, Caller, Order).Outcome, order_outcome::Refused);
+  EXPECT_EQ(callTarget(Io, Caller, Order).Outcome, order_outcome::Done);
+}
+
 } // namespace
 } // namespace pomelo::platform
