--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
+#include "pomeloswitch/http/limited_read.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,9 +26,14 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
+//! The class of the numeric status: the enumerated one is "unknown" for a code
+//! without a name, e.g. 103.
+http::status_class statusClassOf(const response_stream_parser &Response) {
+  return http::to_status_class(Response.get().result_int());
+}
+
 bool isInformational(const response_stream_parser &Response) {
-  return http::to_status_class(Response.get().result()) ==
-         http::status_class::informational;
+  return statusClassOf(Response) == http::status_class::informational;
 }
 
 bool isParseError(error_code Error) {
@@ -132,18 +138,21 @@
   Response.emplace();
   Response->body_limit(boost::none);
   Response->skip(ResponseHasNoBody);
-  error_code Error;
-  co_await http::async_read_header(Connection.Stream, Connection.Buffer,
-                                   *Response, redirect(Error));
+  const error_code Error = co_await readLimited(
+      Connection.Stream, Connection.Buffer, *Response, HeaderAllowance);
+  if (Error)
+    failRead(Error);
+  co_return !isInformational(*Response) ||
+      Response->get().result() == http::status::switching_protocols;
+}
+
+void target_dispatch::failRead(error_code Error) {
   if (Error == beast::error::timeout)
     fail(attempt_failure::TimedOut, "the target did not respond in time");
   if (isParseError(Error))
     fail(attempt_failure::ProtocolError, "the target's response is malformed");
-  if (Error)
-    fail(attempt_failure::ConnectionLost,
-         "the connection to the target was lost before its response");
-  co_return !isInformational(*Response) ||
-      Response->get().result() == http::status::switching_protocols;
+  fail(attempt_failure::ConnectionLost,
+       "the connection to the target was lost before its response");
 }
 
 //! Discards a late response to an earlier request; the response to this request
@@ -157,12 +166,14 @@
     Response->get().body().data = Discarded.data();
     Response->get().body().size = Discarded.size();
     error_code Error;
-    co_await http::async_read_some(Connection.Stream, Connection.Buffer,
-                                   *Response, redirect(Error));
+    const std::size_t Count = co_await http::async_read_some(
+        Connection.Stream, Connection.Buffer, *Response, redirect(Error));
     if (Error && Error != http::error::need_buffer)
-      fail(Error == beast::error::timeout ? attempt_failure::TimedOut
-                                          : attempt_failure::ConnectionLost,
-           "the target did not complete a response to another request");
+      failRead(Error);
+    if (Count > DiscardAllowance)
+      fail(attempt_failure::ProtocolError,
+           "the target's response to another request is too long");
+    DiscardAllowance -= Count;
   }
 }
 
@@ -188,8 +199,8 @@
 }
 
 bool target_dispatch::answeredServerError() const {
-  return Response && http::to_status_class(Response->get().result()) ==
-                         http::status_class::server_error;
+  return Response &&
+         statusClassOf(*Response) == http::status_class::server_error;
 }
 
 bool target_dispatch::reusable() const {
