--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -45,7 +45,7 @@
     auto &Slots = grantStatesOf(Service.Name, Table->size());
     for (std::size_t Number = 0; Number < Table->size(); ++Number)
       if (calledOwner(State, (*Table)[Number]))
-        Slots[Number].UnansweredUntil = latestGrantEnd(Now);
+        Slots[Number].UnansweredUntil = latestGrantEnd(Now + Times.CallTimeout);
   }
 }
 
--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -87,9 +87,10 @@
 public:
   explicit order_scheduler(order_times Times) : Times(Times) {}
 
-  //! Starts a term as leader. Grants of an earlier leader may still be valid,
-  //! so every slot owned by a target that is ordered by calls counts as just
-  //! granted.
+  //! Starts a term as leader. Grants of an earlier leader may still be valid
+  //! and its last calls may still be under way, so every slot owned by a target
+  //! that is ordered by calls counts as granted by a call that begins now and
+  //! gets no answer.
   void startTerm(const cluster_state &State, mono_time Now);
 
   //! Returns the calls to make now and counts them as in flight. The result of
--- a/tests/ownership/order_scheduler_test.cpp
+++ b/tests/ownership/order_scheduler_test.cpp
@@ -253,11 +253,19 @@
   EXPECT_TRUE(dueOrders().empty());
 }
 
+//! A call that the earlier leader began just before the term may arrive until
+//! it times out.
 TEST_F(order_scheduling, counts_what_an_earlier_leader_may_have_granted) {
+  const order_times Times;
+  const milliseconds Held(static_cast<milliseconds::rep>(
+      static_cast<double>(Times.GrantDuration.count()) *
+      (1.0 + Times.MaxClockDrift)));
   Scheduler.startTerm(Driven.State, Now);
   revoke({0, 1, 2, 3});
   EXPECT_FALSE(released("t1", 0));
-  Now += order_times().GrantDuration + milliseconds(300);
+  Now += Times.CallTimeout + Times.InTransit + Held;
+  EXPECT_FALSE(released("t1", 0));
+  Now += milliseconds(1);
   EXPECT_TRUE(released("t1", 0));
 }
 
