--- a/tests/platform/platform_target_caller_test.cpp
+++ b/tests/platform/platform_target_caller_test.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <optional>
 #include <thread>
 
@@ -92,5 +93,30 @@
                     stray_case{"after_the_next_call", milliseconds(20)}),
     [](const auto &Case) { return Case.param.Name; });
 
+//! The caller's thread was busy until the call had timed out.
+TEST(late_order, is_not_sent) {
+  std::atomic<unsigned> Received = 0;
+  order_result Result;
+  {
+    scripted_target Target(
+        [&Received](scripted_connection &Connection, unsigned) {
+          if (Connection.readRequest().empty())
+            return;
+          ++Received;
+          Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          Connection.awaitEnd();
+        });
+    boost::asio::io_context Io;
+    platform_target_caller Caller(Io);
+    constexpr milliseconds Timeout(20);
+    Caller.call(makeOrder(Target, order_kind::Grant), Timeout,
+                [&Result](const order_result &Ended) { Result = Ended; });
+    std::this_thread::sleep_for(2 * Timeout);
+    Io.run();
+  }
+  EXPECT_EQ(Received, 0U);
+  EXPECT_EQ(Result.Outcome, order_outcome::NotDone);
+}
+
 } // namespace
 } // namespace pomelo::platform
