--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -11,16 +11,19 @@
   return Slot.Phase == slot_phase::Granted || Slot.Phase == slot_phase::Active;
 }
 
-//! Returns the slot's owner if that is a member ordered by calls, or null.
+//! Returns the member ordered by calls that may serve the slot, or null. That
+//! is the owner or, once the slot is revoked, a later process with the owner's
+//! id: calls to the owner may have reached it before it reported.
 const target_member *calledOwner(const cluster_state &State,
                                  const slot_ownership &Slot) {
   if (Slot.Phase == slot_phase::Unowned)
     return nullptr;
   const auto Found = State.targets().find(Slot.Owner);
-  if (Found == State.targets().end() || !Found->second.OrderedByCall ||
-      Found->second.Incarnation != Slot.OwnerIncarnation)
+  if (Found == State.targets().end() || !Found->second.OrderedByCall)
     return nullptr;
-  return &Found->second;
+  const bool SameProcess = Found->second.Incarnation == Slot.OwnerIncarnation;
+  return SameProcess || Slot.Phase == slot_phase::Revoking ? &Found->second
+                                                           : nullptr;
 }
 
 } // namespace
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -143,15 +143,18 @@
                                                    longestDeadline(), Now);
   }
 
-  //! An owner that is no longer a member, or whose incarnation was replaced,
-  //! has released its slots: a member leaves or is replaced only after its
-  //! lease has expired or, if it is ordered by calls, after its process has
-  //! ended.
+  //! An owner that is no longer a member has released its slots: a member
+  //! leaves only after its lease has expired or, if it is ordered by calls,
+  //! after its process has ended or its grants have expired. So has an owner
+  //! whose incarnation was replaced, unless it is ordered by calls: its
+  //! successor may have taken grants that were meant for it.
   bool fencingOwnerReleased(std::uint32_t Number,
                             const slot_ownership &Slot) const {
     const auto Owner = State.targets().find(Slot.Owner);
-    if (Owner == State.targets().end() ||
-        Owner->second.Incarnation != Slot.OwnerIncarnation)
+    if (Owner == State.targets().end())
+      return true;
+    if (Owner->second.Incarnation != Slot.OwnerIncarnation &&
+        !Owner->second.OrderedByCall)
       return true;
     return Leases.targetReleased(Owner->second, Now) ||
            Leases.slotReleased(Owner->second, Service.Name, Number,
--- a/tests/ownership/silent_called_target_test.cpp
+++ b/tests/ownership/silent_called_target_test.cpp
@@ -53,6 +53,18 @@
     Driven.applyAll(Planner.plan(Driven.State, Leases, Loads, Now));
   }
 
+  //! Ends the target's process. The next one, cold as it starts, answers calls
+  //! at once but reports only after \p Unreported.
+  void restart(const std::string &Id, milliseconds Unreported) {
+    target_member Next = Reporting.at(Id);
+    Next.Incarnation = ++Next.StartedMs;
+    Next.Cold = true;
+    Reporting.erase(Id);
+    Held[Id] = {};
+    runFor(Unreported);
+    Reporting[Id] = Next;
+  }
+
   void answer(const target_order &Order) {
     const bool Granting = Order.Kind == order_kind::Grant;
     for (auto Slot = Order.FirstSlot; Slot <= Order.LastSlot; ++Slot) {
@@ -92,5 +104,18 @@
   EXPECT_FALSE(Driven.State.targets().contains("t1"));
 }
 
+//! A renewal meant for the earlier process reaches the next one, which has the
+//! same id and address and so takes the slots.
+TEST_F(silent_called_target,
+       keeps_what_its_earlier_process_was_granted_until_it_is_released) {
+  runFor(milliseconds(1000));
+  ASSERT_GT(slotsHeldBy("t1"), 0);
+  restart("t1", order_times().RenewEvery + milliseconds(100));
+  ASSERT_GT(slotsHeldBy("t1"), 0);
+  runFor(milliseconds(1000));
+  EXPECT_EQ(OverlappingGrants, 0U);
+  EXPECT_EQ(slotsHeldBy("t2"), static_cast<long>(SlotCount));
+}
+
 } // namespace
 } // namespace pomelo
