--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -255,15 +255,20 @@
   }
 }
 
-bool order_scheduler::recordResult(const target_order &Order,
-                                   const order_result &Result, mono_time Now) {
-  const slot_run Run{Order.FirstSlot, Order.LastSlot, Order.Token, Order.Kind};
+//! Records the result for the slots of the call. Returns whether it renewed a
+//! known grant of all of them. If the service has another number of slots by
+//! now, the result does not apply to them.
+bool order_scheduler::recordForSlots(const target_order &Order,
+                                     const order_result &Result,
+                                     mono_time Now) {
+  const auto Found = GrantStates.find(Order.Service);
+  if (Found == GrantStates.end() || Found->second.size() != Order.SlotCount)
+    return false;
   const bool Done = Result.Outcome == order_outcome::Done;
   const bool Granting = Order.Kind == order_kind::Grant;
   bool Renewal = Granting && Done;
-  auto &Slots = grantStatesOf(Order.Service, Order.SlotCount);
   for (auto Number = Order.FirstSlot; Number <= Order.LastSlot; ++Number) {
-    slot_grant_state &Slot = Slots[Number];
+    slot_grant_state &Slot = Found->second[Number];
     Renewal = Renewal && Slot.ConfirmedToken >= Order.Token;
     if (Granting && Slot.GrantsInFlight > 0)
       --Slot.GrantsInFlight;
@@ -279,6 +284,27 @@
       recordReleased(Slot, Order.Token, Result.Handover);
     }
   }
+  return Renewal;
+}
+
+//! A process that has ended serves no slot, and grants that it had not yet
+//! carried out ended with it.
+void order_scheduler::recordEnded(const target_record &Record,
+                                  const std::string &Service) {
+  auto &Slots = GrantStates[Service];
+  for (const auto &[Key, Unused] : Record.Calls)
+    if (Key.first == Service && Key.second.Last < Slots.size())
+      for (auto Number = Key.second.First; Number <= Key.second.Last; ++Number)
+        if (Key.second.Token >= Slots[Number].SentToken)
+          Slots[Number].AnsweredUntil = Slots[Number].UnansweredUntil =
+              mono_time();
+}
+
+bool order_scheduler::recordResult(const target_order &Order,
+                                   const order_result &Result, mono_time Now) {
+  const slot_run Run{Order.FirstSlot, Order.LastSlot, Order.Token, Order.Kind};
+  const bool Done = Result.Outcome == order_outcome::Done;
+  bool Renewal = recordForSlots(Order, Result, Now);
   const auto Found = Targets.find(Order.TargetId);
   const bool Current =
       Found != Targets.end() && Found->second.Incarnation == Order.Incarnation;
@@ -297,17 +323,9 @@
                            Result.Outcome == order_outcome::ConnectionBroken ||
                            Result.Outcome == order_outcome::Unreachable ||
                            Result.Outcome == order_outcome::ProcessEnded;
-  if (Result.Outcome != order_outcome::ProcessEnded)
-    return !Renewal;
-  // A process that has ended serves no slot, and grants that it had not yet
-  // carried out ended with it.
-  for (const auto &[Key, Unused] : Record.Calls)
-    if (Key.first == Order.Service)
-      for (auto Number = Key.second.First; Number <= Key.second.Last; ++Number)
-        if (Key.second.Token >= Slots[Number].SentToken)
-          Slots[Number].AnsweredUntil = Slots[Number].UnansweredUntil =
-              mono_time();
-  return true;
+  if (Result.Outcome == order_outcome::ProcessEnded)
+    recordEnded(Record, Order.Service);
+  return !Renewal;
 }
 
 //! Returns until when the grants sent so far may let a target serve the slot.
--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -189,6 +189,9 @@
   void recordSent(const std::string &Service, const slot_run &Run);
   static void recordReleased(slot_grant_state &Slot, std::uint64_t Token,
                              const std::string &Handover);
+  bool recordForSlots(const target_order &Order, const order_result &Result,
+                      mono_time Now);
+  void recordEnded(const target_record &Record, const std::string &Service);
   void updateTargetRecords(const lease_table &Leases);
   [[nodiscard]] mono_time latestGrantEnd(mono_time CallEnd) const;
   [[nodiscard]] mono_time mayServeUntil(const slot_grant_state &Slot,
--- a/tests/ownership/order_scheduler_test.cpp
+++ b/tests/ownership/order_scheduler_test.cpp
@@ -269,5 +269,21 @@
   EXPECT_TRUE(released("t1", 0));
 }
 
+//! An answer may arrive after the service was given another number of slots.
+TEST_F(order_scheduling, forgets_no_grant_because_of_a_call_with_fewer_slots) {
+  const target_order Current = only(dueOrders());
+  target_order Earlier = Current;
+  Earlier.SlotCount = 2;
+  Earlier.LastSlot = 1;
+  Earlier.Token = 0;
+  answer(Current, order_outcome::Done);
+  answer(Earlier, order_outcome::NoAnswer);
+  dueOrders();
+  revoke({0, 1, 2, 3});
+  for (const target_order &Order : dueOrders())
+    answer(Order, order_outcome::NoAnswer);
+  EXPECT_FALSE(released("t1", 3));
+}
+
 } // namespace
 } // namespace pomelo
