--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -41,11 +41,9 @@
   Targets.clear();
   Members = nullptr;
   Schedules.clear();
-  for (const service &Service : State.sharedInventory()->Services) {
-    const auto Table = State.sharedSlots(Service.Name);
-    if (!Table)
-      continue;
-    auto &Slots = grantStatesOf(Service.Name, Table->size());
+  for (const std::string &Service : State.servicesWithSlots()) {
+    const auto Table = State.sharedSlots(Service);
+    auto &Slots = grantStatesOf(Service, Table->size());
     for (std::size_t Number = 0; Number < Table->size(); ++Number)
       if (calledOwner(State, (*Table)[Number]))
         Slots[Number].UnansweredUntil = latestGrantEnd(Now + Times.CallTimeout);
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -378,6 +378,13 @@
   return Found == Slots.end() ? nullptr : Found->second;
 }
 
+std::vector<std::string> cluster_state::servicesWithSlots() const {
+  std::vector<std::string> Names;
+  for (const auto &[Service, Table] : Slots)
+    Names.push_back(Service);
+  return Names;
+}
+
 std::uint32_t cluster_state::slotNumberOf(std::string_view Service,
                                           std::string_view Key) const {
   const auto Table = sharedSlots(Service);
--- a/src/pomeloswitch/state/cluster_state.hpp
+++ b/src/pomeloswitch/state/cluster_state.hpp
@@ -22,6 +22,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pomelo::wire {
 class command;
@@ -132,6 +133,9 @@
   }
   [[nodiscard]] std::shared_ptr<const slot_table>
   sharedSlots(std::string_view Service) const;
+  //! Returns the names of the services with a slot table, which a service that
+  //! was removed keeps while any of its slots has an owner.
+  [[nodiscard]] std::vector<std::string> servicesWithSlots() const;
   //! Returns the slot of \p Key. \throws pomelo_error NotFound if \p Service is
   //! not divided by key, MissingKey if it has no such key.
   [[nodiscard]] std::uint32_t slotNumberOf(std::string_view Service,
--- a/tests/ownership/order_scheduler_test.cpp
+++ b/tests/ownership/order_scheduler_test.cpp
@@ -66,6 +66,16 @@
     Driven.apply(Command);
   }
 
+  void replaceConfiguration(std::uint64_t Number, const std::string &Inventory,
+                            const std::string &Rules) {
+    wire::command Command;
+    auto *Change = Command.mutable_replace_configuration();
+    Change->set_number(Number);
+    Change->set_inventory_json(Inventory);
+    Change->set_rules_json(Rules);
+    EXPECT_EQ(Driven.apply(Command).Message, "");
+  }
+
   std::vector<target_order> dueOrders() {
     return Scheduler.dueOrders(Driven.State, Leases, Now);
   }
@@ -269,6 +279,20 @@
   EXPECT_TRUE(released("t1", 0));
 }
 
+//! The earlier leader granted slots just before a configuration removed their
+//! service, which a later one adds again.
+TEST_F(order_scheduling, counts_earlier_grants_of_a_service_that_is_removed) {
+  const auto WithOther = [](std::string Json) {
+    return Json.replace(Json.find("archive"), 7, "other");
+  };
+  replaceConfiguration(1, WithOther(testInventory(4)),
+                       WithOther(testRules(2000)));
+  Scheduler.startTerm(Driven.State, Now);
+  replaceConfiguration(2, testInventory(4), testRules(2000));
+  revoke({0, 1, 2, 3});
+  EXPECT_FALSE(released("t1", 0));
+}
+
 //! An answer may arrive after the service was given another number of slots.
 TEST_F(order_scheduling, forgets_no_grant_because_of_a_call_with_fewer_slots) {
   const target_order Current = only(dueOrders());
