--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -23,17 +23,8 @@
 constexpr auto RecordsPollInterval = std::chrono::milliseconds(10);
 constexpr auto RecordsTimeout = std::chrono::seconds(2);
 
-//! Adds the response times that differ from those in \p Reported, if any.
-void addChangedSpeeds(const traffic_thread::load_report &Latest,
-                      const traffic_thread::load_report *Reported,
-                      wire::heartbeat &Heartbeat) {
-  for (const auto &[TargetId, Seconds] : Latest.ResponseSeconds) {
-    if (Reported) {
-      const auto Earlier = Reported->ResponseSeconds.find(TargetId);
-      if (Earlier != Reported->ResponseSeconds.end() &&
-          Earlier->second == Seconds)
-        continue;
-    }
+void addSpeeds(const response_times &Times, wire::heartbeat &Heartbeat) {
+  for (const auto &[TargetId, Seconds] : Times) {
     auto *Speed = Heartbeat.add_speeds();
     Speed->set_target_id(TargetId);
     Speed->set_seconds(static_cast<float>(Seconds));
@@ -229,7 +220,7 @@
     Latest.push_back(Thread->loads());
   if (Latest == ReportedLoads)
     return;
-  ReportedLoads.resize(Latest.size());
+  SpeedChanges.resize(Latest.size());
   std::map<std::string, std::map<std::uint32_t, float>> Sums;
   for (std::size_t Thread = 0; Thread < Latest.size(); ++Thread) {
     if (!Latest[Thread])
@@ -237,7 +228,8 @@
     for (const auto &[Service, Rates] : Latest[Thread]->Rates)
       for (const slot_rate &Rate : Rates)
         Sums[Service][Rate.Slot] += Rate.PerSecond;
-    addChangedSpeeds(*Latest[Thread], ReportedLoads[Thread].get(), Heartbeat);
+    addSpeeds(SpeedChanges[Thread].take(Latest[Thread]->ResponseSeconds),
+              Heartbeat);
   }
   ReportedLoads = std::move(Latest);
   for (const auto &[Service, Rates] : Sums) {
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -6,6 +6,7 @@
 #include "pomeloswitch/entry/control_session.hpp"
 #include "pomeloswitch/entry/diagnostics.hpp"
 #include "pomeloswitch/entry/replicated_records.hpp"
+#include "pomeloswitch/entry/speed_changes.hpp"
 #include "pomeloswitch/entry/traffic_thread.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/settings/entry_settings.hpp"
@@ -78,6 +79,7 @@
   bool Stopping = false;
   //! The load reports last sent in a heartbeat, one for each thread.
   std::vector<std::shared_ptr<const traffic_thread::load_report>> ReportedLoads;
+  std::vector<speed_changes> SpeedChanges; //!< One for each thread.
 };
 
 //! Builds an entry host. build() binds the addresses.
