--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -87,9 +87,10 @@
 public:
   explicit order_scheduler(order_times Times) : Times(Times) {}
 
-  //! Starts a term as leader. Grants of an earlier leader may still be valid,
-  //! so every slot owned by a target that is ordered by calls counts as just
-  //! granted.
+  //! Starts a term as leader. Grants of an earlier leader may still be valid
+  //! and its last calls may still be under way, so every slot owned by a target
+  //! that is ordered by calls counts as granted by a call that begins now and
+  //! gets no answer.
   void startTerm(const cluster_state &State, mono_time Now);
 
   //! Returns the calls to make now and counts them as in flight. The result of
@@ -188,6 +189,9 @@
   void recordSent(const std::string &Service, const slot_run &Run);
   static void recordReleased(slot_grant_state &Slot, std::uint64_t Token,
                              const std::string &Handover);
+  bool recordForSlots(const target_order &Order, const order_result &Result,
+                      mono_time Now);
+  void recordEnded(const target_record &Record, const std::string &Service);
   void updateTargetRecords(const lease_table &Leases);
   [[nodiscard]] mono_time latestGrantEnd(mono_time CallEnd) const;
   [[nodiscard]] mono_time mayServeUntil(const slot_grant_state &Slot,
--- a/tests/platform/platform_target_caller_test.cpp
+++ b/tests/platform/platform_target_caller_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <optional>
 #include <thread>
 
@@ -175,5 +176,30 @@
   EXPECT_EQ(callTarget(Io, Caller, Order).Outcome, order_outcome::Done);
 }
 
+//! The caller's thread was busy until the call had timed out.
+TEST(late_order, is_not_sent) {
+  std::atomic<unsigned> Received = 0;
+  order_result Result;
+  {
+    scripted_target Target(
+        [&Received](scripted_connection &Connection, unsigned) {
+          if (Connection.readRequest().empty())
+            return;
+          ++Received;
+          Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          Connection.awaitEnd();
+        });
+    boost::asio::io_context Io;
+    platform_target_caller Caller(Io);
+    constexpr milliseconds Timeout(20);
+    Caller.call(makeOrder(Target, order_kind::Grant), Timeout,
+                [&Result](const order_result &Ended) { Result = Ended; });
+    std::this_thread::sleep_for(2 * Timeout);
+    Io.run();
+  }
+  EXPECT_EQ(Received, 0U);
+  EXPECT_EQ(Result.Outcome, order_outcome::NotDone);
+}
+
 } // namespace
 } // namespace pomelo::platform
