--- a/src/pomeloswitch/raft/raft_core.cpp
+++ b/src/pomeloswitch/raft/raft_core.cpp
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace pomelo {
+namespace {
+
+bool isRequest(const wire::raft_message &Message) {
+  return Message.has_append_request() || Message.has_vote_request() ||
+         Message.has_snapshot_request();
+}
+
+} // namespace
 
 raft_core::raft_core(options GivenOptions, stored_state Stored, raft_time Now)
     : Options(std::move(GivenOptions)), Identity(std::move(Stored.Identity)),
@@ -51,12 +59,9 @@
 void raft_core::receive(const wire::raft_message &Message, raft_time Now) {
   if (RolledBack || Message.to_host() != Options.HostId)
     return;
-  const bool Request = Message.has_append_request() ||
-                       Message.has_vote_request() ||
-                       Message.has_snapshot_request();
   if (!Message.to_replica().empty() &&
       Message.to_replica() != Identity.replica_id()) {
-    if (Request) {
+    if (isRequest(Message)) {
       wire::raft_message Answer = makeMessage(Message.from_host());
       Answer.mutable_identity_answer();
       send(std::move(Answer));
@@ -79,6 +84,12 @@
     return false;
   if (Message.has_identity_answer())
     return true;
+  // This host may lag behind the change that took the sender's new replica in.
+  // A replica asks for votes or leads only once its own log names it a voter,
+  // and the checks of term and log decide the rest. Answers count only from the
+  // replicas of this host's configuration.
+  if (isRequest(Message))
+    return true;
   const wire::raft_member *Member = findMember(Message.from_host());
   return !Member || Member->replica_id().empty() ||
          Member->replica_id() == Message.from_replica();
--- a/tests/raft/raft_group.cpp
+++ b/tests/raft/raft_group.cpp
@@ -15,7 +15,9 @@
 
 } // namespace
 
-raft_group::raft_group(unsigned HostCount, std::uint64_t Seed) : Random(Seed) {
+raft_group::raft_group(unsigned HostCount, std::uint64_t Seed,
+                       unsigned Outsiders)
+    : Random(Seed), Founders(HostCount) {
   wire::raft_config Config;
   for (unsigned Number = 1; Number <= HostCount; ++Number) {
     const std::string Id = fmt::format("c{}", Number);
@@ -26,6 +28,8 @@
     Member->set_voter(true);
   }
   Hosts["c1"].Core->bootstrap(Config, Now);
+  for (unsigned Number = 1; Number <= Outsiders; ++Number)
+    addHost(fmt::format("c{}", HostCount + Number));
 }
 
 void raft_group::addHost(const std::string &Id) {
@@ -65,6 +69,24 @@
   resetDisk(Hosts[Id]);
 }
 
+raft_time raft_group::endDay(const std::set<std::string> &DiskLost,
+                             bool PowerLost, milliseconds MaxDownTime) {
+  raft_time LastReturn = Now;
+  const auto MaxDownSteps = static_cast<std::uint64_t>(MaxDownTime / StepTime);
+  for (auto &[Id, Host] : Hosts) {
+    if (DiskLost.contains(Id))
+      loseDisk(Id);
+    else if (PowerLost)
+      crash(Id, chance(50));
+    else
+      continue;
+    Host.InactiveUntil =
+        Now + StepTime * static_cast<int>(1 + Random() % MaxDownSteps);
+    LastReturn = std::max(LastReturn, Host.InactiveUntil);
+  }
+  return LastReturn;
+}
+
 void raft_group::cut(const std::string &From, const std::string &To) {
   Cuts.emplace(From, To);
 }
@@ -258,4 +280,34 @@
   return true;
 }
 
+bool raft_group::leaderKnowsAsVoter(const std::string &Id) {
+  const fake_host *Leader = leader();
+  if (!Leader ||
+      Leader->Core->commitIndex() < Leader->Core->log().configIndex())
+    return false;
+  const auto &Members = Leader->Core->log().config().members();
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Member) {
+    return Member.host_id() == Id && Member.voter() &&
+           Member.replica_id() == Hosts.at(Id).Disk.Identity.replica_id();
+  });
+}
+
+bool raft_group::membersAreVotersAndAgree() {
+  const fake_host *Leader = leader();
+  if (!Leader || !Leader->Core->leadershipConfirmed(Now) ||
+      Leader->Core->commitIndex() < Leader->Core->log().configIndex())
+    return false;
+  unsigned FoundersFound = 0;
+  for (const auto &Member : Leader->Core->log().config().members()) {
+    const fake_host &Host = Hosts.at(Member.host_id());
+    if (!Host.Core || !Member.voter() || !Member.replaces().empty() ||
+        Member.replica_id() != Host.Disk.Identity.replica_id() ||
+        Host.AppliedIndex != Committed || Host.Applied != Leader->Applied)
+      return false;
+    if (std::stoul(Member.host_id().substr(1)) <= Founders)
+      ++FoundersFound;
+  }
+  return FoundersFound == Founders;
+}
+
 } // namespace pomelo
--- a/tests/raft/raft_group.hpp
+++ b/tests/raft/raft_group.hpp
@@ -50,7 +50,8 @@
 //! all hosts apply the same entries in the same order.
 class raft_group {
 public:
-  raft_group(unsigned HostCount, std::uint64_t Seed);
+  //! Starts \p Outsiders further hosts that are not members of the group.
+  raft_group(unsigned HostCount, std::uint64_t Seed, unsigned Outsiders = 0);
 
   void step(const fault_plan &Plan);
   void runSteps(int Count, const fault_plan &Plan = {});
@@ -72,6 +73,11 @@
   void start(const std::string &Id);
   //! Crashes a host and replaces its disk by an empty one.
   void loseDisk(const std::string &Id);
+  //! Empties the disks of \p DiskLost. If \p PowerLost is set, all other hosts
+  //! lose power: what they were writing is kept or lost at random. The hosts
+  //! start again within \p MaxDownTime. Returns when the last one does.
+  raft_time endDay(const std::set<std::string> &DiskLost, bool PowerLost,
+                   std::chrono::milliseconds MaxDownTime);
   //! Drops all messages from \p From to \p To until heal(); "" means any host.
   void cut(const std::string &From, const std::string &To);
   //! Removes all cuts.
@@ -82,6 +88,13 @@
   void propose();
   bool allHostsAreVoters() const;
   bool allHostsAgree() const;
+  //! Returns whether all members in the leader's committed configuration are
+  //! voters with the disks they have now, the founding members among them, and
+  //! have applied the same entries.
+  bool membersAreVotersAndAgree();
+  //! Returns whether \p Id, with the disk it has now, is a voter in the
+  //! leader's committed configuration.
+  bool leaderKnowsAsVoter(const std::string &Id);
 
   raft_time Now{std::chrono::hours(1)};
   std::uint64_t Proposed = 0;
@@ -99,6 +112,7 @@
   void resetDisk(fake_host &Host);
 
   std::mt19937_64 Random;
+  unsigned Founders;
   std::map<std::string, fake_host> Hosts;
   std::vector<wire::raft_message> Messages;
   std::set<std::pair<std::string, std::string>> Cuts;
