--- a/src/pomeloswitch/raft/file_storage.cpp
+++ b/src/pomeloswitch/raft/file_storage.cpp
@@ -190,8 +190,10 @@
                Bytes.size() - Scan.ValidBytes, Path);
     if (::ftruncate(Segment.get(), static_cast<off_t>(Scan.ValidBytes)) != 0)
       throwErrno("cannot truncate", Path);
-    FileIo->sync(Segment.get());
   }
+  // The last record may come from a process that ended before its sync. What is
+  // returned here is told to other hosts, so it must survive a loss of power.
+  FileIo->sync(Segment.get());
   removeOldFiles();
   return Stored;
 }
--- a/src/pomeloswitch/raft/file_storage.hpp
+++ b/src/pomeloswitch/raft/file_storage.hpp
@@ -28,9 +28,9 @@
   file_storage(std::filesystem::path Folder, std::string HostId,
                std::unique_ptr<file_io> FileIo = std::make_unique<file_io>());
 
-  //! Reads the latest segment and its snapshot, and truncates an incomplete
-  //! record at the end of the segment. \throws pomelo_error StorageFailed if a
-  //! file is missing or damaged.
+  //! Reads the latest segment and its snapshot, truncates an incomplete record
+  //! at the end of the segment, and makes all that it returns durable. \throws
+  //! pomelo_error StorageFailed if a file is missing or damaged.
   stored_state load() override;
   void write(const storage_batch &Batch) override;
 
