--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -1,4 +1,5 @@
 #include "emulator/deployment.hpp"
+#include "emulator/ownership_checker.hpp"
 #include "pomeloswitch/cli/admin_client.hpp"
 #include "pomeloswitch/settings/json_document.hpp"
 
@@ -308,5 +309,144 @@
 INSTANTIATE_TEST_SUITE_P(each_kind, isolated_control_host,
                          testing::Values(cut_kind::Silent, cut_kind::Reset));
 
+//! Callers that write to many keys, one thread for each entry host.
+class keyed_callers {
+public:
+  keyed_callers(const std::vector<std::string> &Addresses,
+                const std::string &ApiKey) {
+    for (const std::string &Address : Addresses)
+      Threads.emplace_back([this, Address, ApiKey] {
+        for (int Number = 0; !Stopping; Number = (Number + 1) % Keys)
+          send(Address, ApiKey, Number);
+      });
+  }
+  ~keyed_callers() { stop(); }
+
+  void stop() {
+    Stopping = true;
+    for (std::thread &Thread : Threads)
+      if (Thread.joinable())
+        Thread.join();
+  }
+
+  //! Returns whether the request was served.
+  static bool send(const std::string &Address, const std::string &ApiKey,
+                   int Number) {
+    const http_answer Answer =
+        call(Address, {"POST",
+                       fmt::format("/reports/k{}", Number),
+                       {{"Authorization", "Bearer " + ApiKey}},
+                       "x",
+                       seconds(2)});
+    return Answer.Status == 200;
+  }
+
+  static constexpr int Keys = 60;
+
+private:
+  std::atomic<bool> Stopping = false;
+  std::vector<std::thread> Threads;
+};
+
+//! The day ends: all control hosts and entry hosts are killed at once, and one
+//! control host loses its disk.
+class day_ending_of_all_hosts : public control_group,
+                                public testing::WithParamInterface<bool> {
+protected:
+  // As in ownership_test.cpp.
+  static constexpr std::int64_t FencedLimitUs = 1'000'000;
+  static constexpr std::int64_t DeadlineUs = 2'000'000;
+  static constexpr seconds MaxRecoveryTime{15};
+
+  void SetUp() override {
+    deployment_plan Plan;
+    Plan.ControlHosts = 3;
+    Plan.FailureDomains = {"a", "b", "c"};
+    for (const std::string Domain : {"a", "b", "c"}) {
+      Plan.Targets.push_back(
+          {"checks-" + Domain, "archive", Domain, {"--checks-fence"}});
+      Plan.Targets.push_back({"trusts-" + Domain, "archive", Domain, {}});
+    }
+    Group = deployment::builder().withPlan(Plan).build();
+    const auto Issued = Group->ctl({"--wait", "key", "issue", "large"});
+    ASSERT_EQ(Issued.ExitCode, 0) << Issued.Output;
+    ApiKey = std::string(
+        json::parse(Issued.Output).as_object().at("key").as_string());
+  }
+
+  std::vector<std::string> hosts() {
+    std::vector<std::string> Ids;
+    for (const std::string Role : {"control", "entry"})
+      for (const member *Host : Group->membersOf(Role))
+        Ids.push_back(Host->Id);
+    return Ids;
+  }
+
+  //! Kills all hosts, empties the folder of \p Emptied and starts all again.
+  void endDay(const std::string &Emptied) {
+    const std::vector<std::string> Ids = hosts();
+    Group->killTogether(Ids);
+    emptyDataFolder(Emptied);
+    for (const std::string &Id : Ids)
+      Group->restart(Id);
+  }
+
+  //! Returns whether each key was served through each entry host.
+  bool allKeysServed() {
+    for (const std::string &Address : Group->callerAddresses())
+      for (int Number = 0; Number < keyed_callers::Keys; ++Number)
+        if (!keyed_callers::send(Address, ApiKey, Number))
+          return false;
+    return true;
+  }
+
+  void expectSingleOwner() {
+    std::vector<execution> All;
+    for (const member *Target : Group->membersOf("target"))
+      for (execution &Each : readJournal(Group->journalOf(Target->Id)))
+        All.push_back(std::move(Each));
+    EXPECT_FALSE(All.empty());
+    const auto Violations =
+        findOwnershipViolations(std::move(All), [](std::string_view Id) {
+          return Id.starts_with("checks-") ? FencedLimitUs : DeadlineUs;
+        });
+    EXPECT_TRUE(Violations.empty())
+        << Violations.size() << " findings, first: " << Violations.front();
+  }
+
+  std::string ApiKey;
+};
+
+TEST_P(day_ending_of_all_hosts, keeps_what_was_acknowledged_and_owners_apart) {
+  keyed_callers Callers(Group->callerAddresses(), ApiKey);
+  auto Made = makeChanges("before", 20);
+  const std::string Leader = leader();
+  const std::string Follower = Leader == "c1" ? "c2" : "c1";
+  Made.push_back(makeChanges("last", 1).front());
+  endDay(GetParam() ? Leader : Follower);
+  const auto Returned = std::chrono::steady_clock::now();
+  EXPECT_TRUE(waitUntil([this] { return allKeysServed(); }, MaxRecoveryTime));
+  const auto Time = std::chrono::steady_clock::now() - Returned;
+  RecordProperty("recovery_ms", std::to_string(Time / milliseconds(1)));
+  EXPECT_LE(Time, MaxRecoveryTime);
+  const json::object Status = query("/v1/status");
+  EXPECT_EQ(Status.at("failure_domains_out"), json::array{"a"});
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c1", "c2", "c3"});
+      },
+      MaxRecoveryTime));
+  expectPreserved(Made);
+  Callers.stop();
+  expectSingleOwner();
+}
+
+INSTANTIATE_TEST_SUITE_P(table, day_ending_of_all_hosts, testing::Bool(),
+                         [](const auto &Info) {
+                           return std::string(Info.param
+                                                  ? "leader_loses_its_disk"
+                                                  : "follower_loses_its_disk");
+                         });
+
 } // namespace
 } // namespace pomelo::emulator
--- a/tools/emulator/deployment.cpp
+++ b/tools/emulator/deployment.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -86,6 +87,13 @@
   launch(Member);
 }
 
+void deployment::killTogether(const std::vector<std::string> &Ids) {
+  for (const std::string &Id : Ids)
+    at(Id).Process->signal(SIGKILL);
+  for (const std::string &Id : Ids)
+    at(Id).Process->kill();
+}
+
 void deployment::startTarget(const target_plan &Target) {
   std::string Announce;
   for (member *Entry : membersOf("entry"))
--- a/tools/emulator/deployment.hpp
+++ b/tools/emulator/deployment.hpp
@@ -80,6 +80,8 @@
 
   //! Kills a member if it is running and starts it with the same arguments.
   void restart(const std::string &Id);
+  //! Kills all members of \p Ids at the same moment.
+  void killTogether(const std::vector<std::string> &Ids);
   void startTarget(const target_plan &Plan);
 
   //! Runs pomeloctl with \p Arguments against all control hosts; the exit
