--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -507,9 +507,11 @@
   Options.HostId = Settings.HostId;
   Options.Secret = Settings.ClusterSecret;
   Options.Members = Settings.Members;
-  return std::make_unique<raft_log>(
-      Io, std::move(Options),
-      std::make_unique<file_storage>(Settings.DataFolder, Settings.HostId));
+  auto Storage = std::make_unique<file_storage>(
+      Settings.DataFolder, Settings.HostId, std::make_unique<file_io>(),
+      Settings.MayFound ? Settings.Members : std::vector<host_address>());
+  Options.Founders = Storage->founders();
+  return std::make_unique<raft_log>(Io, std::move(Options), std::move(Storage));
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/raft/file_storage.cpp
+++ b/src/pomeloswitch/raft/file_storage.cpp
@@ -83,12 +83,13 @@
 
 file_storage::file_storage(std::filesystem::path GivenFolder,
                            std::string GivenHostId,
-                           std::unique_ptr<file_io> GivenFileIo)
+                           std::unique_ptr<file_io> GivenFileIo,
+                           const std::vector<host_address> &Founders)
     : Folder(std::move(GivenFolder)), HostId(std::move(GivenHostId)),
       FileIo(std::move(GivenFileIo)) {
   createFolder(std::filesystem::absolute(Folder));
   lockFolder();
-  openIdentity();
+  openIdentity(Founders);
 }
 
 //! Creates \p Path and its missing parents, each durable in its own parent: a
@@ -127,10 +128,12 @@
         fmt::format("{} is in use by another process", Folder.string()));
 }
 
-void file_storage::openIdentity() {
+void file_storage::openIdentity(const std::vector<host_address> &Founders) {
   const std::string Path = (Folder / "identity").string();
-  if (!std::filesystem::exists(Path))
+  if (!std::filesystem::exists(Path)) {
+    saveFounders(Founders);
     return createIdentity();
+  }
   Identity = readSingleRecord<wire::raft_identity>(Path);
   if (Identity.host_id() != HostId)
     throwStorageFailed(fmt::format("{} belongs to host \"{}\", not to \"{}\"",
@@ -160,6 +163,30 @@
              Identity.replica_id());
 }
 
+void file_storage::saveFounders(const std::vector<host_address> &Founders) {
+  if (Founders.empty())
+    return;
+  wire::raft_config Config;
+  for (const host_address &Founder : Founders) {
+    wire::raft_member *Member = Config.add_members();
+    Member->set_host_id(Founder.Id);
+    Member->set_address(Founder.Address);
+  }
+  replaceFileDurably(*FileIo, (Folder / "founders").string(),
+                     encodeRecord(1, Config.SerializeAsString()));
+}
+
+std::vector<host_address> file_storage::founders() const {
+  const std::string Path = (Folder / "founders").string();
+  std::vector<host_address> Founders;
+  if (!std::filesystem::exists(Path))
+    return Founders;
+  const auto Config = readSingleRecord<wire::raft_config>(Path);
+  for (const wire::raft_member &Member : Config.members())
+    Founders.push_back({Member.host_id(), Member.address()});
+  return Founders;
+}
+
 void file_storage::saveIdentity() {
   replaceFileDurably(*FileIo, (Folder / "identity").string(),
                      encodeRecord(1, Identity.SerializeAsString()));
--- a/src/pomeloswitch/raft/file_storage.hpp
+++ b/src/pomeloswitch/raft/file_storage.hpp
@@ -1,6 +1,7 @@
 //! Stores the replicated log as files in one data folder.
 //!
 //! - "identity": host id, replica id, number of process starts.
+//! - "founders": the hosts with which this one may found a group, if any.
 //! - "log-N": a log segment; the one with the highest N is in use. Its first
 //!   record holds the vote, the index of the snapshot it builds on and all
 //!   entries after that snapshot. Each sync appends one record.
@@ -11,6 +12,7 @@
 
 #include "pomeloswitch/raft/file_io.hpp"
 #include "pomeloswitch/raft/log_storage.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
 
 #include <filesystem>
 #include <memory>
@@ -22,11 +24,16 @@
 class file_storage final : public log_storage {
 public:
   //! Opens or creates the folder for \p HostId and increments its number of
-  //! process starts.
+  //! process starts. \p Founders are stored if the folder is new.
   //! \throws pomelo_error StorageFailed if the folder is in use, belongs to
   //!         another host, is incomplete or cannot be written.
   file_storage(std::filesystem::path Folder, std::string HostId,
-               std::unique_ptr<file_io> FileIo = std::make_unique<file_io>());
+               std::unique_ptr<file_io> FileIo = std::make_unique<file_io>(),
+               const std::vector<host_address> &Founders = {});
+
+  //! Returns the founders given when the folder was created. Settings of a
+  //! later start may name other members, which may belong to no group.
+  [[nodiscard]] std::vector<host_address> founders() const;
 
   //! Reads the latest segment and its snapshot, truncates an incomplete record
   //! at the end of the segment, and makes all that it returns durable. \throws
@@ -38,8 +45,9 @@
   void createFolder(const std::filesystem::path &Path);
   void syncParentAgain();
   void lockFolder();
-  void openIdentity();
+  void openIdentity(const std::vector<host_address> &Founders);
   void createIdentity();
+  void saveFounders(const std::vector<host_address> &Founders);
   void saveIdentity();
   [[nodiscard]] std::uint64_t latestSegment() const;
   [[nodiscard]] std::string segmentPath(std::uint64_t Number) const;
--- a/src/pomeloswitch/raft/group_bootstrap.hpp
+++ b/src/pomeloswitch/raft/group_bootstrap.hpp
@@ -1,10 +1,12 @@
 //! Bootstraps a new group of control hosts.
 //!
-//! The initial member with the lowest id asks the other initial members for
-//! their replica ids. It creates the group once all of them have reported that
-//! they are blank, i.e. have never stored a vote, entry or snapshot. A host
-//! that lost its data folder finds members that are not blank; it creates no
-//! second group but waits until the leader adds it as a learner.
+//! Only hosts that hold the right to found, given at the first start of the
+//! whole system, take part, and only with the members named then. The initial
+//! member with the lowest id asks the other initial members for their replica
+//! ids. It creates the group once all of them have reported that they are
+//! blank, i.e. have never stored a vote, entry or snapshot. A host that lost
+//! its data folder finds members that are not blank; it creates no second group
+//! but waits until the leader adds it as a learner.
 #ifndef POMELOSWITCH_RAFT_GROUP_BOOTSTRAP_HPP
 #define POMELOSWITCH_RAFT_GROUP_BOOTSTRAP_HPP
 
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -29,7 +29,7 @@
                    std::unique_ptr<log_storage> Storage)
     : Io(Io), Options(std::move(GivenOptions)), Random(std::random_device()()),
       Core(coreOptions(Options, Random), Storage->load(), lease_clock::now()),
-      Bootstrap(Options.HostId, Options.Members),
+      Bootstrap(Options.HostId, Options.Founders),
       Network(Io, Options.HostId, Options.Secret,
               [this](const wire::raft_message &Message) { receive(Message); }),
       Worker(Io, std::move(Storage),
@@ -43,8 +43,9 @@
   Applier = std::move(NewApplier);
   Log.info("Replica {} starts with last log index {} and term {}.",
            Core.identity().replica_id(), Core.log().lastIndex(), Core.term());
-  for (const host_address &Member : Options.Members)
-    Network.connect(Member.Id, Member.Address);
+  for (const auto &Known : {Options.Founders, Options.Members})
+    for (const host_address &Member : Known)
+      Network.connect(Member.Id, Member.Address);
   connectMembers();
   applyCommitted();
   tick();
@@ -96,7 +97,8 @@
   Answer.set_from_host(Options.HostId);
   Answer.set_from_replica(Core.identity().replica_id());
   Answer.set_to_host(Message.from_host());
-  Answer.mutable_found_answer()->set_blank(Core.blank());
+  Answer.mutable_found_answer()->set_blank(Core.blank() &&
+                                           !Options.Founders.empty());
   Network.send(Answer, lease_clock::now());
 }
 
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -28,7 +28,9 @@
   struct options {
     std::string HostId;
     std::string Secret;
-    std::vector<host_address> Members; //!< Initial members of the group.
+    std::vector<host_address> Members; //!< Addresses known from the start.
+    //! The hosts that found the group together; empty if this host may not.
+    std::vector<host_address> Founders;
     raft_times Times;
     //! A snapshot is taken once this many entries were applied since the last
     //! one, or once the log entries in memory reach this size in bytes.
--- a/src/pomeloswitch/settings/control_settings.cpp
+++ b/src/pomeloswitch/settings/control_settings.cpp
@@ -19,6 +19,7 @@
     "admin_address": {{"$ref": "#/definitions/address"}},
     "data_folder": {{"type": "string", "minLength": 1}},
     "members": {{"$ref": "#/definitions/hosts"}},
+    "may_found": {{"type": "boolean"}},
     "cluster_secret_file": {{"type": "string", "minLength": 1}},
     "operators": {{
       "type": "array",
@@ -67,6 +68,7 @@
   Settings.AdminAddress = stringField(Object, "admin_address");
   Settings.DataFolder = stringField(Object, "data_folder");
   Settings.Members = readHostAddresses(Kind, Object, "members");
+  Settings.MayFound = boolField(Object, "may_found", Settings.MayFound);
   Settings.ClusterSecret = readClusterSecret(Kind, Object);
   Settings.Operators = readOperators(Object.at("operators").as_array());
   Settings.HostLeaseMs = static_cast<std::uint32_t>(
--- a/src/pomeloswitch/settings/control_settings.hpp
+++ b/src/pomeloswitch/settings/control_settings.hpp
@@ -23,6 +23,9 @@
   std::string AdminAddress; //!< IP:port of the administration API.
   std::string DataFolder;
   std::vector<host_address> Members; //!< Founding members of the group.
+  //! Whether a host with an empty data folder may found the group together with
+  //! the members. To be true at the first start of the whole system only.
+  bool MayFound = true;
   std::string ClusterSecret;
   std::vector<operator_settings> Operators;
   //! How long an entry host may route requests after the last heartbeat that
--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -171,8 +171,20 @@
     return std::string(Description.at("peer_address").as_string());
   }
 
+  //! The next start is not the first of the system, so the host may found no
+  //! group then.
   void emptyDataFolder(const std::string &Id) {
     std::filesystem::remove_all(Group->folder() / (Id + ".data"));
+    changeSettings(Id, {{"may_found", false}});
+  }
+
+  //! Changes fields in the settings of \p Id for its next start.
+  void changeSettings(const std::string &Id, const json::object &Fields) {
+    const std::string &File = Group->at(Id).SettingsFile;
+    json::object Settings = json::parse(readFile(File)).as_object();
+    for (const auto &Field : Fields)
+      Settings[Field.key()] = Field.value();
+    std::ofstream(File) << json::serialize(Settings);
   }
 
   std::unique_ptr<deployment> Group;
@@ -278,6 +290,37 @@
   makeChanges("after", 5);
 }
 
+TEST_F(control_group, an_emptied_host_founds_no_second_group_with_a_blank_one) {
+  const auto Made = makeChanges("before", 5);
+  const std::string Address = startAdditionalHost("c4");
+  Group->killTogether({"c1", "c2", "c3"});
+  emptyDataFolder("c1");
+  // The list of members that a host is given may change from start to start.
+  const auto OwnAddress = Group->at("c1").Description.at("peer_address");
+  changeSettings(
+      "c1", {{"members",
+              json::array{json::object{{"id", "c1"}, {"address", OwnAddress}},
+                          json::object{{"id", "c4"}, {"address", Address}}}}});
+  Group->restart("c1");
+  const auto Founded = [&] {
+    const http_answer Answer = queryHost("c1", "/v1/control-hosts");
+    return Answer.Status == 200 && !json::parse(Answer.Body)
+                                        .as_object()
+                                        .at("members")
+                                        .as_array()
+                                        .empty();
+  };
+  EXPECT_FALSE(waitUntil(Founded, seconds(2)));
+  Group->restart("c2");
+  Group->restart("c3");
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c1", "c2", "c3"});
+      },
+      seconds(10)));
+  expectPreserved(Made);
+}
+
 class isolated_control_host : public control_group,
                               public testing::WithParamInterface<cut_kind> {
 protected:
--- a/tests/raft/file_storage_test.cpp
+++ b/tests/raft/file_storage_test.cpp
@@ -115,6 +115,23 @@
   EXPECT_EQ(std::distance(fs::directory_iterator(Folder), {}), 4);
 }
 
+TEST(file_storage, takes_the_right_to_found_from_the_first_start_only) {
+  const fs::path Folder = createTestPath();
+  const std::vector<host_address> Founders{{"c1", "127.0.0.1:1"},
+                                           {"c2", "127.0.0.1:2"}};
+  const std::vector<host_address> Others{{"c1", "127.0.0.1:1"}};
+  const auto FoundersIn = [](const fs::path &Path,
+                             const std::vector<host_address> &Given) {
+    return file_storage(Path, "c1", std::make_unique<file_io>(), Given)
+        .founders();
+  };
+  EXPECT_EQ(FoundersIn(Folder / "first", Founders).size(), 2U);
+  EXPECT_EQ(FoundersIn(Folder / "first", Others).size(), 2U);
+  EXPECT_EQ(FoundersIn(Folder / "first", {}).size(), 2U);
+  EXPECT_TRUE(FoundersIn(Folder / "emptied", {}).empty());
+  EXPECT_TRUE(FoundersIn(Folder / "emptied", Founders).empty());
+}
+
 struct damage_case {
   std::string Name;
   std::function<void(const fs::path &)> Damage;
--- a/tests/raft/lost_power_test.cpp
+++ b/tests/raft/lost_power_test.cpp
@@ -214,7 +214,9 @@
     Disk.endProcessAfter(Random() % 14);
     try {
       file_storage Storage(Folder, "c1",
-                           std::make_unique<unreliable_file_io>(Disk));
+                           std::make_unique<unreliable_file_io>(Disk),
+                           {{"c1", "127.0.0.1:1"}});
+      EXPECT_EQ(Storage.founders().size(), 1U);
       check(Storage.load());
       while (true)
         writeSomething(Storage);
--- a/tests/raft/raft_log_test.cpp
+++ b/tests/raft/raft_log_test.cpp
@@ -28,10 +28,12 @@
 
 class raft_log_alone : public testing::Test {
 protected:
-  void start(int Writes) {
+  void start(int Writes, bool MayFound = true) {
     raft_log::options Options;
     Options.HostId = "c1";
     Options.Members = {{"c1", "127.0.0.1:1"}};
+    if (MayFound)
+      Options.Founders = Options.Members;
     Log = std::make_unique<raft_log>(Io, Options,
                                      std::make_unique<failing_storage>(Writes));
     replicated_log::applier Applier;
@@ -75,6 +77,15 @@
   EXPECT_TRUE(Log->leadershipConfirmed());
 }
 
+TEST_F(raft_log_alone, founds_no_group_without_the_right_to) {
+  constexpr int Unlimited = 1000;
+  start(Unlimited, false);
+  for (int Runs = 0; Runs < 100; ++Runs) // 10 ms each, ten times the interval.
+    Io.run_one_for(seconds(1));
+  EXPECT_TRUE(Log->members().empty());
+  EXPECT_FALSE(IsLeader);
+}
+
 TEST_F(raft_log_alone, stops_taking_part_when_its_storage_fails) {
   // Three writes succeed: the configuration, the vote and the no-op of the new
   // term.
