--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -175,7 +175,7 @@
 
 asio::awaitable<void> exchange::serve() {
   RequestId = Context.Dialect.requestIdOf(Request.get());
-  Plan = makeRequestPlan(Request, Context);
+  Plan = planRequest();
   Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
   if (Plan.Route.Access == route_access::Account) {
     co_await awaitLease();
@@ -195,6 +195,20 @@
     Answered = co_await attempt();
 }
 
+//! A host that has lost contact may not know a route or a key that was added
+//! meanwhile, and such a refusal would be final.
+request_plan exchange::planRequest() const {
+  try {
+    return makeRequestPlan(Request, Context);
+  } catch (const pomelo_error &Refusal) {
+    const bool ByState = Refusal.kind() == error_kind::NoRoute ||
+                         Refusal.kind() == error_kind::Unauthenticated;
+    if (!ByState || Context.RoutingLease.valid())
+      throw;
+  }
+  throw pomelo_error(error_kind::NotAuthoritative, LostContact);
+}
+
 asio::awaitable<void> exchange::continueIfExpected() {
   if (!http::token_list{Request.get()[http::field::expect]}.exists(
           "100-continue"))
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -300,6 +300,23 @@
                                   "9\r\n\r\nhalf"),
                            "unknown"}));
 
+// A route or a key may have been added since the host lost contact.
+TEST(exchange, denies_no_route_or_key_while_out_of_touch) {
+  scripted_target Target(writes(CompleteResponse));
+  traffic_fixture Traffic(Target.address(), 1);
+  EXPECT_EQ(Traffic.call("GET", "/unknown").Status, 404U);
+  Traffic.endLease();
+  const auto Unknown = Traffic.call("GET", "/unknown");
+  EXPECT_EQ(Unknown.Header.at("Pomelo-Error"), "not_authoritative");
+  const auto Denied =
+      emulator::call(Traffic.address(), {"POST",
+                                         "/claimed",
+                                         {{"Authorization", "Bearer unknown"}},
+                                         "body",
+                                         std::chrono::seconds(5)});
+  EXPECT_EQ(Denied.Header.at("Pomelo-Error"), "not_authoritative");
+}
+
 TEST(exchange, sends_nothing_without_a_granted_claim) {
   scripted_target Target(writes(CompleteResponse));
   traffic_fixture Traffic(Target.address(), 1);
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -90,6 +90,8 @@
                                       Body,
                                       std::chrono::seconds(5)});
   }
+  //! Ends the host's lease, as if it had lost contact.
+  void endLease() { RoutingLease.extendTo(lease_clock::now()); }
   //! Publishes a routing view in which the process of the first target has
   //! crashed.
   void reportCrash() {
