--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -7,6 +7,11 @@
 namespace pomelo {
 namespace {
 
+//! Grants of a service that are made at once, however short ago the last were.
+constexpr std::size_t MinGrantsAtOnce = 8;
+//! Rate of grants, as a multiple of the rate at which renewals become due.
+constexpr double RenewalHeadroom = 2;
+
 bool isOwned(const slot_ownership &Slot) {
   return Slot.Phase == slot_phase::Granted || Slot.Phase == slot_phase::Active;
 }
@@ -41,6 +46,7 @@
   Targets.clear();
   Members = nullptr;
   Schedules.clear();
+  GrantsTakenAt.clear();
   for (const std::string &Service : State.servicesWithSlots()) {
     const auto Table = State.sharedSlots(Service);
     auto &Slots = grantStatesOf(Service, Table->size());
@@ -194,26 +200,65 @@
                                 const service &Service, mono_time Now,
                                 std::vector<target_order> &Orders) {
   const service_schedule &Schedule = scheduleOf(State, Service);
+  std::vector<const scheduled_run *> Grants;
   for (const scheduled_run &Each : Schedule.Runs) {
     const owned_slot_run &Owned = Each.Owned;
-    const bool Granting = Owned.Run.Kind == order_kind::Grant;
     if (!callDue(*Each.Call, Owned.Run.Kind, Now))
       continue;
-    const bool Blocked =
-        Granting ? Each.Record->MaybeRestarted : grantInFlight(Service, Owned);
-    if (Blocked)
-      continue;
-    Each.Call->InFlight = true;
-    if (Each.Record->LastSuccessAt == mono_time())
-      Each.Record->LastSuccessAt = Now;
-    if (Granting)
-      recordSent(Service.Name, Owned.Run);
-    Orders.push_back(
-        {Owned.Run.Kind, Each.Member->TargetId, Each.Member->Incarnation,
-         Each.Member->Address, Service.Name, Owned.Run.First, Owned.Run.Last,
-         static_cast<std::uint32_t>(Schedule.Table->size()), Service.KeySpace,
-         Owned.Run.Token, Times.GrantDuration, Owned.Handover});
+    if (Owned.Run.Kind == order_kind::Grant) {
+      if (!Each.Record->MaybeRestarted)
+        Grants.push_back(&Each);
+    } else if (!grantInFlight(Service, Owned)) {
+      addOrder(Service, Schedule, Each, Now, Orders);
+    }
+  }
+  takeGrants(Service, Schedule, std::move(Grants), Now, Orders);
+}
+
+//! Adds the grants that have been due the longest, at most as many as keep up
+//! with all renewals.
+void order_scheduler::takeGrants(const service &Service,
+                                 const service_schedule &Schedule,
+                                 std::vector<const scheduled_run *> Due,
+                                 mono_time Now,
+                                 std::vector<target_order> &Orders) {
+  mono_time &TakenAt = GrantsTakenAt.try_emplace(Service.Name, Now).first->second;
+  const std::chrono::duration<double> Elapsed =
+      std::min<mono_time::duration>(Now - TakenAt, Times.RenewEvery);
+  const std::chrono::duration<double> Cycle = Times.RenewEvery;
+  TakenAt = Now;
+  const auto Limit =
+      MinGrantsAtOnce +
+      static_cast<std::size_t>(RenewalHeadroom * Elapsed / Cycle *
+                               static_cast<double>(Schedule.Runs.size()));
+  if (Due.size() > Limit) {
+    std::nth_element(Due.begin(),
+                     Due.begin() + static_cast<std::ptrdiff_t>(Limit),
+                     Due.end(), [](const auto *Left, const auto *Right) {
+                       return Left->Call->EndedAt < Right->Call->EndedAt;
+                     });
+    Due.resize(Limit);
   }
+  for (const scheduled_run *Each : Due)
+    addOrder(Service, Schedule, *Each, Now, Orders);
+}
+
+void order_scheduler::addOrder(const service &Service,
+                               const service_schedule &Schedule,
+                               const scheduled_run &Scheduled, mono_time Now,
+                               std::vector<target_order> &Orders) {
+  const owned_slot_run &Owned = Scheduled.Owned;
+  Scheduled.Call->InFlight = true;
+  if (Scheduled.Record->LastSuccessAt == mono_time())
+    Scheduled.Record->LastSuccessAt = Now;
+  if (Owned.Run.Kind == order_kind::Grant)
+    recordSent(Service.Name, Owned.Run);
+  Orders.push_back({Owned.Run.Kind, Scheduled.Member->TargetId,
+                    Scheduled.Member->Incarnation, Scheduled.Member->Address,
+                    Service.Name, Owned.Run.First, Owned.Run.Last,
+                    static_cast<std::uint32_t>(Schedule.Table->size()),
+                    Service.KeySpace, Owned.Run.Token, Times.GrantDuration,
+                    Owned.Handover});
 }
 
 void order_scheduler::recordSent(const std::string &Service,
--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -94,7 +94,8 @@
   void startTerm(const cluster_state &State, mono_time Now);
 
   //! Returns the calls to make now and counts them as in flight. The result of
-  //! each must be passed to recordResult().
+  //! each must be passed to recordResult(). Renewals are spread over time, so
+  //! that they leave room for other work.
   std::vector<target_order> dueOrders(const cluster_state &State,
                                       const lease_table &Leases, mono_time Now);
   //! Records the result of a call returned by dueOrders(). Returns whether it
@@ -186,6 +187,12 @@
                         const std::vector<scheduled_run> &Runs);
   void addOrders(const cluster_state &State, const service &Service,
                  mono_time Now, std::vector<target_order> &Orders);
+  void takeGrants(const service &Service, const service_schedule &Schedule,
+                  std::vector<const scheduled_run *> Due, mono_time Now,
+                  std::vector<target_order> &Orders);
+  void addOrder(const service &Service, const service_schedule &Schedule,
+                const scheduled_run &Scheduled, mono_time Now,
+                std::vector<target_order> &Orders);
   void recordSent(const std::string &Service, const slot_run &Run);
   static void recordReleased(slot_grant_state &Slot, std::uint64_t Token,
                              const std::string &Handover);
@@ -209,6 +216,8 @@
   //! The members that Targets and Schedules were made for.
   std::shared_ptr<const target_map> Members;
   std::map<std::string, service_schedule, std::less<>> Schedules;
+  //! When the latest grants of each service were taken.
+  std::map<std::string, mono_time, std::less<>> GrantsTakenAt;
 };
 
 } // namespace pomelo
--- a/tests/ownership/order_scheduler_test.cpp
+++ b/tests/ownership/order_scheduler_test.cpp
@@ -1,10 +1,12 @@
 #include "pomeloswitch/ownership/order_scheduler.hpp"
 
+#include "pomeloswitch/state/target_codec.hpp"
 #include "state/state_fixture.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace pomelo {
 namespace {
@@ -309,5 +311,47 @@
   EXPECT_FALSE(released("t1", 3));
 }
 
+// ---- a new term with many targets ------------------------------------------
+
+//! A leader that made all its calls at once would answer no heartbeat meanwhile
+//! and lose its leadership again.
+TEST(new_term, spreads_its_first_calls_over_time) {
+  constexpr unsigned TargetCount = 200;
+  test_cluster Driven;
+  Driven.setInventory(testInventory(TargetCount));
+  mono_time Now = Start;
+  lease_table Leases{lease_times()};
+  Leases.startTerm(Driven.State, Now);
+  for (unsigned Number = 0; Number < TargetCount; ++Number) {
+    wire::command Command;
+    const target_member Target =
+        testTarget(fmt::format("t{}", Number), 1, true, 10000 + Number);
+    *Command.mutable_target_joined() = toMessage(Target);
+    Command.mutable_target_joined()->set_ordered_by_call(true);
+    Driven.apply(Command);
+    Command.mutable_grant_slots()->set_service("archive");
+    auto *Grant = Command.mutable_grant_slots()->add_grants();
+    Grant->set_slot(Number);
+    Grant->set_target_id(Target.TargetId);
+    Driven.apply(Command);
+  }
+  order_scheduler Scheduler{order_times()};
+  Scheduler.startTerm(Driven.State, Now);
+  constexpr milliseconds Tick{20};
+  std::size_t Most = 0;
+  std::set<std::string> Called;
+  // Grants of the earlier term are renewed well before they run out.
+  for (; Now < Start + order_times().GrantDuration / 2; Now += Tick) {
+    const auto Orders = Scheduler.dueOrders(Driven.State, Leases, Now);
+    Most = std::max(Most, Orders.size());
+    for (const target_order &Order : Orders) {
+      Called.insert(Order.TargetId);
+      Scheduler.recordResult(Order, {order_outcome::Done, {}}, Now);
+    }
+  }
+  EXPECT_LE(Most, TargetCount / 4);
+  EXPECT_EQ(Called.size(), TargetCount);
+}
+
 } // namespace
 } // namespace pomelo
