--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -14,7 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-//! A link without any message after a heartbeat for this long is dialed again.
+//! A link on which nothing arrives after a heartbeat for this long is dialed
+//! again.
 constexpr milliseconds LinkTimeout{900};
 constexpr std::size_t MaxUnacknowledged = 64;
 constexpr milliseconds ProposalCheckInterval{20};
@@ -24,9 +25,7 @@
 struct control_session::control_host {
   std::string Id;
   std::string Address;
-  //! When the first heartbeat was sent after the last received message; unset
-  //! if none was sent since.
-  steady_time UnansweredSince{};
+  link_silence Silence{LinkTimeout};
   std::unique_ptr<peer_dialer> Dialer;
 };
 
@@ -73,11 +72,11 @@
 //! Dials links again that stay silent: a lost connection may still look open.
 void control_session::redialSilentHosts(steady_time Now) {
   for (const auto &Host : Hosts) {
-    const bool Silent = Host->UnansweredSince != steady_time() &&
-                        Now - Host->UnansweredSince > LinkTimeout;
-    if (!Silent)
+    if (const auto &Link = Host->Dialer->link())
+      Host->Silence.received(Link->receivedBytes());
+    if (!Host->Silence.timedOut(Now))
       continue;
-    Host->UnansweredSince = steady_time();
+    Host->Silence.reset();
     if (Host->Dialer->open())
       Log.warn("Control host {} does not respond; reconnecting.", Host->Id);
     Host->Dialer->reset();
@@ -137,7 +136,6 @@
 
 void control_session::onMessage(control_host &Host,
                                 const wire::envelope &Message) {
-  Host.UnansweredSince = steady_time();
   if (Message.has_log_batch())
     onLogBatch(Host, Message.log_batch());
   else if (Message.has_heartbeat_ack())
@@ -300,9 +298,8 @@
   logLeaseChange(Now);
   const bool LeaderKnown = Leader && Schedule.leaderKnown(Now);
   for (const auto &Host : Hosts)
-    if ((!LeaderKnown || Host.get() == Leader) && Host->Dialer->send(Message) &&
-        Host->UnansweredSince == steady_time())
-      Host->UnansweredSince = Now;
+    if ((!LeaderKnown || Host.get() == Leader) && Host->Dialer->send(Message))
+      Host->Silence.heartbeatSent(Now);
   redialSilentHosts(Now);
   if (LeaderKnown)
     Reports.clear();
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -3,6 +3,7 @@
 #define POMELOSWITCH_ENTRY_CONTROL_SESSION_HPP
 
 #include "pomeloswitch/entry/heartbeat_schedule.hpp"
+#include "pomeloswitch/entry/link_silence.hpp"
 #include "pomeloswitch/entry/pending_leases.hpp"
 #include "pomeloswitch/entry/proposal_table.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
