--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
+#include "pomeloswitch/state/configuration_packing.hpp"
 #include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -249,6 +250,8 @@
 void control_host::proposeChange(wire::command Command,
                                  change_completion Done) {
   Command.set_time_ms(unixNowMs());
+  if (Command.has_replace_configuration())
+    packConfiguration(*Command.mutable_replace_configuration());
   Log->propose(
       Command.SerializeAsString(),
       [this, Done = std::move(Done)](const proposal_outcome &Outcome) {
--- a/src/pomeloswitch/state/config_changes.cpp
+++ b/src/pomeloswitch/state/config_changes.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/state/config_changes.hpp"
 
+#include "pomeloswitch/state/configuration_packing.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -120,7 +121,8 @@
   case command::kSetDrain:
     return setDrain(Command.set_drain());
   case command::kReplaceConfiguration:
-    return replaceConfiguration(Command.replace_configuration());
+    return replaceConfiguration(
+        unpackConfiguration(Command.replace_configuration()));
   default:
     refuse(error_kind::Internal, "not a configuration change");
   }
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -78,6 +78,8 @@
   ~traffic_fixture() {
     Io.stop();
     Thread.join();
+    // Requests that have not ended use the members below.
+    Io.shutdown();
   }
 
   emulator::http_answer call(const std::string &Method,
@@ -167,7 +169,13 @@
 
   static inline const std::string Secret = "cluster secret";
   new_account_key Key;
-  boost::asio::io_context Io{1};
+  //! Can destroy its pending operations ahead of the members that they use.
+  class io_context : public boost::asio::io_context {
+  public:
+    using boost::asio::execution_context::shutdown;
+    using boost::asio::io_context::io_context;
+  };
+  io_context Io{1};
   routing_lease RoutingLease;
   host_quota Quota{[] {}};
   traffic_context Context;
