--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -222,7 +222,8 @@
                                  std::vector<const scheduled_run *> Due,
                                  mono_time Now,
                                  std::vector<target_order> &Orders) {
-  mono_time &TakenAt = GrantsTakenAt.try_emplace(Service.Name, Now).first->second;
+  mono_time &TakenAt =
+      GrantsTakenAt.try_emplace(Service.Name, Now).first->second;
   const std::chrono::duration<double> Elapsed =
       std::min<mono_time::duration>(Now - TakenAt, Times.RenewEvery);
   const std::chrono::duration<double> Cycle = Times.RenewEvery;
