--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -6,7 +6,6 @@
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
 #include "pomeloswitch/state/configuration_packing.hpp"
-#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -36,16 +35,7 @@
 constexpr std::size_t MaxRetainedResults = 4096;
 constexpr milliseconds ActivityLogInterval{5000};
 
-//! What a control host spends its time on; the order is that of ActivityNames.
-enum control_activity : std::size_t {
-  HandleHeartbeat,
-  HandleTargetReport,
-  ApplyCommit,
-  SendLog,
-  ScheduleOrders,
-  HandleOrderResult,
-  Plan,
-};
+//! In the order of control_activity.
 constexpr std::array<std::string_view, 7> ActivityNames{
     "heartbeats",       "target_reports", "commits", "log_batches",
     "order_scheduling", "order_results",  "plans"};
@@ -87,12 +77,6 @@
   return Times;
 }
 
-order_times orderTimesOf(const control_settings &Settings) {
-  order_times Times;
-  Times.GrantDuration = milliseconds(Settings.TargetSlotLeaseMs);
-  return Times;
-}
-
 } // namespace
 
 //! Per-link state of a control host.
@@ -139,7 +123,7 @@
     : Io(Io), Settings(std::move(GivenSettings)), Activity(ActivityNames),
       Log(std::move(GivenLog)), Leases(leaseTimesOf(Settings)),
       Rates(Leases.times()), Planner(planner_limits()),
-      Orders(orderTimesOf(Settings)), Caller(std::move(GivenCaller)),
+      Orders(targetOrderTimes(Settings)), Caller(std::move(GivenCaller)),
       Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
@@ -338,57 +322,6 @@
   Link->send(Answer);
 }
 
-bool control_host::targetHeard(target_status Status) {
-  const activity_meter::timer Timer(Activity, HandleTargetReport);
-  if (Log->leadershipConfirmed()) {
-    recordTarget(std::move(Status));
-    return true;
-  }
-  if (Status.Announced.Leaving || !Log->leaderReachable())
-    return false;
-  std::string Id = Status.Announced.TargetId;
-  ReportsToForward.insert_or_assign(std::move(Id), std::move(Status));
-  return true;
-}
-
-void control_host::recordTarget(target_status Status) {
-  Status.HeardAt = steady_clock::now();
-  Leases.targetHeard(Status, Log->commitIndex());
-  const auto Member = State.targets().find(Status.Announced.TargetId);
-  PlanInputsChanged |=
-      Member == State.targets().end() ||
-      Member->second.Incarnation != Status.Announced.Incarnation ||
-      Member->second.Leaving != Status.Announced.Leaving ||
-      Member->second.Cold != Status.Announced.Cold;
-}
-
-void control_host::onForwardedReports(
-    const wire::forwarded_reports &Forwarded) {
-  const activity_meter::timer Timer(Activity, HandleTargetReport);
-  if (!Log->leadershipConfirmed())
-    return;
-  for (const wire::forwarded_report &Report : Forwarded.reports()) {
-    target_status Status;
-    Status.Announced = toMember(Report.target());
-    Status.Sequence = Report.sequence();
-    recordTarget(std::move(Status));
-  }
-}
-
-void control_host::forwardReports() {
-  if (ReportsToForward.empty())
-    return;
-  wire::envelope Message;
-  for (const auto &[Id, Status] : std::exchange(ReportsToForward, {})) {
-    auto *Report = Message.mutable_forwarded_reports()->add_reports();
-    *Report->mutable_target() = toMessage(Status.Announced);
-    Report->set_sequence(Status.Sequence);
-  }
-  const int Count = Message.forwarded_reports().reports_size();
-  if (!Log->sendToLeader(Message))
-    Logger.warn("Lost {} reports of targets: no leader can be reached.", Count);
-}
-
 void control_host::addQuotaGrant(const wire::heartbeat &Heartbeat,
                                  mono_time Now, wire::heartbeat_ack &Ack) {
   const auto Grant = Rates.answer(
@@ -519,31 +452,6 @@
                   });
 }
 
-void control_host::sendTargetOrders(mono_time Now) {
-  if (!Caller)
-    return;
-  const activity_meter::timer Timer(Activity, ScheduleOrders);
-  const order_times Times = orderTimesOf(Settings);
-  for (const target_order &Order : Orders.dueOrders(State, Leases, Now))
-    Caller->call(Order,
-                 Order.Kind == order_kind::Grant ? Times.CallTimeout
-                                                 : Times.ReleaseTimeout,
-                 [this, Order, Term = OrderTerm](const order_result &Result) {
-                   onTargetOrderEnded(Order, Result, Term);
-                 });
-}
-
-void control_host::onTargetOrderEnded(const target_order &Order,
-                                      const order_result &Result,
-                                      std::uint64_t Term) {
-  const activity_meter::timer Timer(Activity, HandleOrderResult);
-  if (const auto Event = eventFor(Order, Result))
-    Logger.event(log_level::Info, Event->Name, Event->Fields);
-  if (Term == OrderTerm &&
-      Orders.recordResult(Order, Result, steady_clock::now()))
-    PlanInputsChanged = true;
-}
-
 void control_host::logActivity(mono_time Now) {
   if (Now - ActivityLoggedAt < ActivityLogInterval)
     return;
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -21,6 +21,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -36,6 +37,20 @@
 
 namespace pomelo {
 
+//! What a control host spends its time on.
+enum control_activity : std::size_t {
+  HandleHeartbeat,
+  HandleTargetReport,
+  ApplyCommit,
+  SendLog,
+  ScheduleOrders,
+  HandleOrderResult,
+  Plan,
+};
+
+//! Durations of the calls to targets under the given settings.
+[[nodiscard]] order_times targetOrderTimes(const control_settings &Settings);
+
 class control_host final : public admin_backend {
 public:
   class builder;
