--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -178,7 +178,8 @@
   Plan = planRequest();
   Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
   if (Plan.Route.Access == route_access::Account) {
-    co_await awaitLease();
+    if (!Context.RoutingLease.valid())
+      co_await planAgainWithLease();
     if (Plan.RateLimited)
       co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
   }
@@ -209,6 +210,18 @@
   throw pomelo_error(error_kind::NotAuthoritative, LostContact);
 }
 
+//! Waits for a lease and plans by the state that it vouches for: the one that
+//! the request met may be much older.
+asio::awaitable<void> exchange::planAgainWithLease() {
+  co_await awaitLease();
+  const auto Deadline = Plan.Deadline;
+  const auto DeadlineUnixMs = Plan.DeadlineUnixMs;
+  View = Context.View;
+  Plan = planRequest();
+  Plan.Deadline = Deadline;
+  Plan.DeadlineUnixMs = DeadlineUnixMs;
+}
+
 asio::awaitable<void> exchange::continueIfExpected() {
   if (!http::token_list{Request.get()[http::field::expect]}.exists(
           "100-continue"))
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -45,6 +45,7 @@
 private:
   boost::asio::awaitable<void> serve();
   [[nodiscard]] request_plan planRequest() const;
+  boost::asio::awaitable<void> planAgainWithLease();
   boost::asio::awaitable<void> continueIfExpected();
   [[nodiscard]] std::string fingerprint() const;
   void rejectPoisonRequest() const;
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <thread>
 
 namespace pomelo {
@@ -300,6 +301,22 @@
                                   "9\r\n\r\nhalf"),
                            "unknown"}));
 
+// The state that a host has at its start, or after a cut, may be much older.
+TEST(exchange, obeys_no_state_from_before_its_lease) {
+  scripted_target Target(writes(CompleteResponse));
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.endLease();
+  auto Answer = std::async(std::launch::async, [&Traffic] {
+    return Traffic.call("POST", "/claimed", "body");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Traffic.removeClaimedRoute();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Traffic.regainLease();
+  EXPECT_EQ(Answer.get().Header.at("Pomelo-Error"), "no_route");
+  EXPECT_EQ(Target.requests(), 0U);
+}
+
 // A route or a key may have been added since the host lost contact.
 TEST(exchange, denies_no_route_or_key_while_out_of_touch) {
   scripted_target Target(writes(CompleteResponse));
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -94,6 +94,21 @@
   }
   //! Ends the host's lease, as if it had lost contact.
   void endLease() { RoutingLease.extendTo(lease_clock::now()); }
+  //! Publishes a routing view without the route /claimed.
+  void removeClaimedRoute() {
+    boost::asio::post(Io, [this] {
+      auto View = std::make_shared<routing_view>(*Context.View);
+      auto Rules = std::make_shared<rules>(*View->Rules);
+      std::erase_if(Rules->Routes, [](const route &Each) {
+        return Each.PathPrefix == "/claimed";
+      });
+      View->Rules = std::move(Rules);
+      Context.View = View;
+    });
+  }
+  void regainLease() {
+    RoutingLease.extendTo(lease_clock::now() + std::chrono::hours(1));
+  }
   //! Publishes a routing view in which the process of the first target has
   //! crashed.
   void reportCrash() {
