Test: a replaced control host and one more lost disk leave no majority

The test starts a control host in place of one that is gone for good and then loses the disk of another.

--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -148,16 +148,28 @@
   }
 
   //! Starts a host that is not an initial member; returns its inner address.
-  std::string startAdditionalHost(const std::string &Id) {
+  //! Its settings are those of c1 but for \p Changed.
+  std::string startAdditionalHost(const std::string &Id,
+                                  const json::object &Changed = {}) {
     const auto Folder = Group->folder();
     json::object Settings =
         json::parse(readFile((Folder / "c1.json").string())).as_object();
     Settings["host_id"] = Id;
-    Settings["peer_address"] = "127.0.0.1:0";
+    Settings["peer_address"] = fmt::format("127.0.0.1:{}", freePort());
     Settings["data_folder"] = (Folder / (Id + ".data")).string();
+    for (const auto &Field : Changed)
+      Settings[Field.key()] = Field.value();
     const auto File = Folder / (Id + ".json");
     std::ofstream(File) << json::serialize(Settings);
+    return launchAdditionalHost(Id);
+  }
+
+  //! Starts an additional host with the settings it has.
+  std::string launchAdditionalHost(const std::string &Id) {
+    const auto Folder = Group->folder();
+    const auto File = Folder / (Id + ".json");
     const auto Ready = Folder / (Id + ".ready");
+    std::filesystem::remove(Ready);
     Added = std::make_unique<child_process>(
         Group->at("c1").Program,
         std::vector<std::string>{"--settings=" + File.string(),
@@ -491,5 +503,33 @@
                                                   : "follower_loses_its_disk");
                          });
 
+//! A new control host must be a voter this long after its start.
+constexpr seconds CatchUpTime{4};
+
+TEST_F(control_group, has_a_majority_when_a_disk_is_lost_after_a_replacement) {
+  auto Made = makeChanges("before", 20);
+  startAdditionalHost("c4", {{"may_found", false}});
+  Group->at("c1").Process->kill();
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c2", "c3", "c4"});
+      },
+      CatchUpTime));
+  const auto After = makeChanges("replaced", 5);
+  Made.insert(Made.end(), After.begin(), After.end());
+  Group->killTogether({"c2", "c3"});
+  Added->kill();
+  emptyDataFolder("c2");
+  Group->restart("c3");
+  Group->restart("c2");
+  launchAdditionalHost("c4");
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c2", "c3", "c4"});
+      },
+      seconds(10)));
+  expectPreserved(Made);
+}
+
 } // namespace
 } // namespace pomelo::emulator
