A replaced control host joins by itself

Cause: a new host was never taken in without pomeloctl, and the voter that is gone for good counted for the quorum for ever. Class: a decision that only an operator's command could make, on a platform where nobody gives it. Change: a host without a leader asks those it knows; the leader makes it a learner and gives it the place of the voter of its failure domain, or of one that is silent.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -471,6 +471,11 @@
   Metrics.setGauge("pomelo_links", {}, static_cast<double>(Sessions.size()));
   Metrics.setGauge("pomelo_state_index", {},
                    static_cast<double>(State.index()));
+  std::map<std::string, double> Roles{{"voter", 0}, {"learner", 0}};
+  for (const control_member &Member : Log->members())
+    ++Roles[Member.Voter ? "voter" : "learner"];
+  for (const auto &[Role, Count] : Roles)
+    Metrics.setGauge("pomelo_control_members", {{"role", Role}}, Count);
   text_response Response = makeJsonResponse(Metrics.text(), Request.version());
   Response.set(boost::beast::http::field::content_type,
                "text/plain; version=0.0.4");
@@ -491,6 +496,8 @@
                                             const control_settings &Settings) {
   raft_log::options Options;
   Options.HostId = Settings.HostId;
+  Options.FailureDomain = Settings.FailureDomain;
+  Options.Address = Settings.PeerAddress;
   Options.Secret = Settings.ClusterSecret;
   Options.Members = Settings.Members;
   auto Storage = std::make_unique<file_storage>(
--- a/src/pomeloswitch/raft/group_bootstrap.cpp
+++ b/src/pomeloswitch/raft/group_bootstrap.cpp
@@ -27,25 +27,33 @@
 
 void group_bootstrap::recordAnswer(const wire::raft_message &Answer) {
   if (Answer.found_answer().blank())
-    BlankReplicas[Answer.from_host()] = Answer.from_replica();
+    BlankMembers[Answer.from_host()] = {Answer.from_replica(),
+                                        Answer.found_answer().failure_domain()};
   else
-    BlankReplicas.erase(Answer.from_host());
+    BlankMembers.erase(Answer.from_host());
 }
 
 std::optional<wire::raft_config>
-group_bootstrap::config(const std::string &OwnReplica) const {
+group_bootstrap::config(const std::string &OwnReplica,
+                        const std::string &OwnDomain) const {
   if (!initiatesBootstrap())
     return std::nullopt;
   wire::raft_config Config;
   for (const host_address &Member : Members) {
-    const auto Blank = BlankReplicas.find(Member.Id);
-    if (Member.Id != HostId && Blank == BlankReplicas.end())
+    const auto Blank = BlankMembers.find(Member.Id);
+    if (Member.Id != HostId && Blank == BlankMembers.end())
       return std::nullopt;
+    const blank_member Found = Member.Id == HostId
+                                   ? blank_member{OwnReplica, OwnDomain}
+                                   : Blank->second;
     wire::raft_member *Added = Config.add_members();
     Added->set_host_id(Member.Id);
-    Added->set_replica_id(Member.Id == HostId ? OwnReplica : Blank->second);
+    Added->set_address(Member.Address);
+    Added->set_replica_id(Found.ReplicaId);
+    Added->set_failure_domain(Found.FailureDomain);
     Added->set_voter(true);
   }
+  Config.set_voters_wanted(static_cast<std::uint32_t>(Members.size()));
   return Config;
 }
 
--- a/src/pomeloswitch/raft/group_bootstrap.hpp
+++ b/src/pomeloswitch/raft/group_bootstrap.hpp
@@ -35,15 +35,20 @@
   void recordAnswer(const wire::raft_message &Answer);
 
   //! Returns the initial configuration, or nullopt on any other host and until
-  //! the last answer of every other member was blank. \p OwnReplica is the
-  //! replica id of this host.
+  //! the last answer of every other member was blank. \p OwnReplica and
+  //! \p OwnDomain are the replica id and failure domain of this host.
   [[nodiscard]] std::optional<wire::raft_config>
-  config(const std::string &OwnReplica) const;
+  config(const std::string &OwnReplica, const std::string &OwnDomain) const;
 
 private:
+  struct blank_member {
+    std::string ReplicaId;
+    std::string FailureDomain;
+  };
+
   std::string HostId;
   std::vector<host_address> Members;
-  std::map<std::string, std::string> BlankReplicas; //!< By host id.
+  std::map<std::string, blank_member> BlankMembers; //!< By host id.
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/raft/peer_network.cpp
+++ b/src/pomeloswitch/raft/peer_network.cpp
@@ -13,7 +13,8 @@
 
 bool isAnswer(const wire::raft_message &Message) {
   return Message.has_vote_answer() || Message.has_append_answer() ||
-         Message.has_found_answer() || Message.has_identity_answer();
+         Message.has_found_answer() || Message.has_identity_answer() ||
+         Message.has_join_answer();
 }
 
 } // namespace
--- a/src/pomeloswitch/raft/raft_core.cpp
+++ b/src/pomeloswitch/raft/raft_core.cpp
@@ -8,15 +8,17 @@
 
 bool isRequest(const wire::raft_message &Message) {
   return Message.has_append_request() || Message.has_vote_request() ||
-         Message.has_snapshot_request();
+         Message.has_snapshot_request() || Message.has_join_request();
 }
 
 } // namespace
 
 raft_core::raft_core(options GivenOptions, stored_state Stored, raft_time Now)
     : Options(std::move(GivenOptions)), Identity(std::move(Stored.Identity)),
-      Vote(std::move(Stored.Vote)), DurableTerm(Vote.term()),
+      Vote(std::move(Stored.Vote)), DurableTerm(Vote.term()), StartedAt(Now),
       LastLeaderContact(Now) {
+  for (const host_address &Known : Options.KnownHosts)
+    KnownHosts[Known.Id] = Known.Address;
   if (Stored.Snapshot) {
     Snapshot = std::make_shared<const wire::raft_snapshot>(
         std::move(*Stored.Snapshot));
@@ -44,7 +46,7 @@
         std::max(lastQuorumContact(Now), LeaderSince);
     if (Now - LastConfirmed >= Options.Times.ElectionMin)
       return becomeFollower(term(), {}, Now);
-    advanceMembership();
+    advanceMembership(Now);
     if (Now < HeartbeatDue)
       return;
     HeartbeatDue = Now + Options.Times.Heartbeat;
@@ -52,6 +54,7 @@
       FollowerProgress.SendDue = true;
     return;
   }
+  askToJoin(Now);
   if (Now >= ElectionDue && isVoter(Options.HostId))
     startPreVote(Now);
 }
@@ -109,6 +112,10 @@
     return onSnapshotRequest(Message, Now);
   case wire::raft_message::kIdentityAnswer:
     return onIdentityAnswer(Message, Now);
+  case wire::raft_message::kJoinRequest:
+    return onJoinRequest(Message, Now);
+  case wire::raft_message::kJoinAnswer:
+    return onJoinAnswer(Message);
   default:
     return;
   }
--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -9,6 +9,7 @@
 #include "pomeloswitch/raft/entry_log.hpp"
 #include "pomeloswitch/raft/raft_types.hpp"
 #include "pomeloswitch/raft/rollback_detector.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
 
 #include <functional>
 #include <map>
@@ -24,6 +25,13 @@
 public:
   struct options {
     std::string HostId;
+    std::string FailureDomain;
+    std::string Address; //!< IP:port of the inner protocol.
+    //! Control hosts named in the settings.
+    std::vector<host_address> KnownHosts;
+    //! Whether this host may found a group. While it is blank it waits for
+    //! that and does not ask to be taken in.
+    bool MayFound = false;
     std::uint64_t RunId = 0; //!< Random, chosen at each process start.
     raft_times Times;
     raft_limits Limits;
@@ -53,7 +61,10 @@
   void compact(std::uint64_t Index, std::string State, std::uint64_t DropUpTo);
 
   // ---- Membership changes. They return nullopt, or the reason for refusal.
+  //! Adds a voter, or names the member that a learner is to replace. Does
+  //! nothing if \p Member is a voter already.
   std::optional<std::string> addLearner(const wire::raft_member &Member);
+  //! The removed replica is not taken in again.
   std::optional<std::string> removeMember(const std::string &HostId);
 
   // ---- Outputs
@@ -84,6 +95,13 @@
     return term() == 0 && Log.lastIndex() == 0;
   }
   [[nodiscard]] const wire::raft_identity &identity() const { return Identity; }
+  //! Addresses of the control hosts that this host can ask to be taken in, by
+  //! host id: those of the settings and those that others have named.
+  [[nodiscard]] const std::map<std::string, std::string> &knownHosts() const {
+    return KnownHosts;
+  }
+  //! Why the leader refused to take this host in; empty if it did not.
+  [[nodiscard]] const std::string &joinRefusal() const { return JoinRefusal; }
   //! Returns whether a peer has seen a newer log of this replica, i.e. whether
   //! the data folder was replaced by an older copy.
   [[nodiscard]] bool rolledBack() const { return RolledBack; }
@@ -107,6 +125,7 @@
     bool Probing = true; //!< The last matching entry is not known yet.
     bool SendDue = true; //!< Send a request even without entries.
     raft_time LastAnsweredSendTime{}; //!< Of the latest answered request.
+    raft_time AddedAt{};              //!< When this leader learned of it.
     raft_time SnapshotSentAt{};
   };
   using handler = void (raft_core::*)(const wire::raft_message &, raft_time);
@@ -156,15 +175,41 @@
   // raft_membership.cpp
   const wire::raft_member *findMember(const std::string &HostId) const;
   bool isVoter(const std::string &HostId) const;
+  std::size_t voterCount() const;
   std::size_t quorum() const;
   //! Returns why no membership change is possible now, or nullopt.
   std::optional<std::string> changeRefusal() const;
   std::optional<std::string> proposeConfig(wire::raft_config Config);
   //! Updates Progress after a configuration change; new replicas start over.
   void rebuildProgress();
-  void advanceMembership();
+  void advanceMembership(raft_time Now);
+  bool removeReplacedVoter(raft_time Now);
+  bool promoteLearner(raft_time Now);
+  bool removeSilentLearner(raft_time Now);
+  //! How long a member has answered nothing; zero for this host.
+  raft_time::duration silence(const std::string &HostId, raft_time Now) const;
+  bool isReady(const wire::raft_member &Learner, raft_time Now) const;
+  //! Whether a majority would be in touch with one more voter that is.
+  bool majorityWithOneMore(raft_time Now) const;
+  //! Returns the voter that \p Learner is to replace, or nothing.
+  std::optional<std::string> lostVoterFor(const wire::raft_member &Learner,
+                                          raft_time Now) const;
   void onIdentityAnswer(const wire::raft_message &Message, raft_time Now);
 
+  // raft_join.cpp
+  void learnHosts();
+  bool mayAskToJoin(raft_time Now) const;
+  void askToJoin(raft_time Now);
+  void onJoinRequest(const wire::raft_message &Message, raft_time Now);
+  void onJoinAnswer(const wire::raft_message &Message);
+  //! Makes the sender a learner. Returns why not, or nullopt.
+  std::optional<std::string> takeIn(const wire::raft_message &Message,
+                                    raft_time Now);
+  //! Returns the only voter of \p FailureDomain that no learner in touch
+  //! replaces yet, or an empty string.
+  std::string replaceableVoterIn(const std::string &FailureDomain,
+                                 raft_time Now) const;
+
   options Options;
   wire::raft_identity Identity;
   wire::raft_vote Vote;
@@ -181,6 +226,10 @@
   std::uint64_t TermStart = 0;
   bool RolledBack = false;
 
+  std::map<std::string, std::string> KnownHosts; //!< Addresses by host id.
+  std::string JoinRefusal;
+  raft_time JoinDue{};
+  raft_time StartedAt;
   raft_time ElectionDue;
   raft_time LastLeaderContact;
   raft_time HeartbeatDue{};
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/raft/raft_log.hpp"
 
 #include <boost/asio/post.hpp>
+#include <boost/json/object.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,12 @@
                                std::mt19937_64 &Random) {
   raft_core::options Core;
   Core.HostId = Options.HostId;
+  Core.FailureDomain = Options.FailureDomain;
+  Core.Address = Options.Address;
+  Core.KnownHosts = Options.Members;
+  Core.KnownHosts.insert(Core.KnownHosts.end(), Options.Founders.begin(),
+                         Options.Founders.end());
+  Core.MayFound = !Options.Founders.empty();
   Core.RunId = Random();
   Core.Times = Options.Times;
   Core.Random = [&Random] { return Random(); };
@@ -46,7 +53,7 @@
   for (const auto &Known : {Options.Founders, Options.Members})
     for (const host_address &Member : Known)
       Network.connect(Member.Id, Member.Address);
-  connectMembers();
+  connectHosts();
   applyCommitted();
   tick();
 }
@@ -99,6 +106,7 @@
   Answer.set_to_host(Message.from_host());
   Answer.mutable_found_answer()->set_blank(Core.blank() &&
                                            !Options.Founders.empty());
+  Answer.mutable_found_answer()->set_failure_domain(Options.FailureDomain);
   Network.send(Answer, lease_clock::now());
 }
 
@@ -106,7 +114,8 @@
   if (!Core.blank() || !Bootstrap.initiatesBootstrap() || Now < BootstrapDue)
     return;
   BootstrapDue = Now + BootstrapInterval;
-  if (const auto Config = Bootstrap.config(Core.identity().replica_id())) {
+  if (const auto Config = Bootstrap.config(Core.identity().replica_id(),
+                                           Options.FailureDomain)) {
     Log.info("Bootstrapped the control group with {} members.",
              Config->members_size());
     return Core.bootstrap(*Config, Now);
@@ -153,7 +162,9 @@
   sendAll(Core.takeMessages(Now), Now);
   writeNext(Now);
   applyCommitted();
-  connectMembers();
+  connectHosts();
+  logMembership();
+  logJoinRefusal();
   updateLeadership();
   takeSnapshotIfDue();
 }
@@ -224,13 +235,51 @@
   }
 }
 
-void raft_log::connectMembers() {
-  if (ConnectedConfig == Core.log().configIndex())
+void raft_log::connectHosts() {
+  if (ConnectedConfig == Core.log().configIndex() &&
+      ConnectedHosts == Core.knownHosts().size())
     return;
   ConnectedConfig = Core.log().configIndex();
+  ConnectedHosts = Core.knownHosts().size();
   for (const wire::raft_member &Member : Core.log().config().members())
-    if (!Member.address().empty())
-      Network.connect(Member.host_id(), Member.address());
+    if (const std::string Address = addressOf(Member); !Address.empty())
+      Network.connect(Member.host_id(), Address);
+  for (const auto &[HostId, Address] : Core.knownHosts())
+    if (!settingsAddress(HostId))
+      Network.connect(HostId, Address);
+}
+
+void raft_log::logMembership() {
+  if (LoggedConfig == Core.log().configIndex())
+    return;
+  LoggedConfig = Core.log().configIndex();
+  std::map<std::string, std::string> Roles;
+  for (const wire::raft_member &Member : Core.log().config().members()) {
+    std::string &Role = Roles[Member.host_id()];
+    Role = Member.voter() ? "voter" : "learner";
+    if (LoggedMembers[Member.host_id()] == Role)
+      continue;
+    Log.event(log_level::Info, "control_member",
+              {{"host", Member.host_id()},
+               {"replica", Member.replica_id()},
+               {"role", Role},
+               {"replaces", Member.replaces()},
+               {"index", LoggedConfig}});
+  }
+  for (const auto &[HostId, Role] : LoggedMembers)
+    if (!Role.empty() && !Roles.contains(HostId))
+      Log.event(
+          log_level::Info, "control_member",
+          {{"host", HostId}, {"role", "removed"}, {"index", LoggedConfig}});
+  LoggedMembers = std::move(Roles);
+}
+
+void raft_log::logJoinRefusal() {
+  if (LoggedRefusal == Core.joinRefusal())
+    return;
+  LoggedRefusal = Core.joinRefusal();
+  if (!LoggedRefusal.empty())
+    Log.event(log_level::Warn, "join_refused", {{"reason", LoggedRefusal}});
 }
 
 void raft_log::takeSnapshotIfDue() {
@@ -299,13 +348,17 @@
   return Result;
 }
 
+std::optional<std::string>
+raft_log::settingsAddress(const std::string &HostId) const {
+  for (const auto *Known : {&Options.Members, &Options.Founders})
+    for (const host_address &Host : *Known)
+      if (Host.Id == HostId)
+        return Host.Address;
+  return std::nullopt;
+}
+
 std::string raft_log::addressOf(const wire::raft_member &Member) const {
-  if (!Member.address().empty())
-    return Member.address();
-  for (const host_address &Initial : Options.Members)
-    if (Initial.Id == Member.host_id())
-      return Initial.Address;
-  return {};
+  return settingsAddress(Member.host_id()).value_or(Member.address());
 }
 
 std::vector<control_member> raft_log::members() const {
@@ -326,7 +379,8 @@
   requireLeadership();
   // A repeated request succeeds if the first one already added the member.
   for (const wire::raft_member &Known : Core.log().config().members())
-    if (Known.host_id() == Host.Id && Known.address() == Host.Address)
+    if (Known.host_id() == Host.Id && Known.address() == Host.Address &&
+        (Known.voter() || Known.replaces() == Replaces))
       return Core.log().configIndex();
   wire::raft_member Member;
   Member.set_host_id(Host.Id);
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -27,6 +27,8 @@
 public:
   struct options {
     std::string HostId;
+    std::string FailureDomain;
+    std::string Address; //!< IP:port at which other control hosts reach this.
     std::string Secret;
     std::vector<host_address> Members; //!< Addresses known from the start.
     //! The hosts that found the group together; empty if this host may not.
@@ -84,12 +86,19 @@
   void applyCommitted();
   void applyEntry(const wire::raft_entry &Entry);
   void updateLeadership();
-  void connectMembers();
+  //! Connects to all control hosts that this host knows.
+  void connectHosts();
+  //! Logs each step of a change of the group.
+  void logMembership();
+  void logJoinRefusal();
   void takeSnapshotIfDue();
   void fail(const std::string &Reason);
   void failProposals(error_kind Kind);
   void requireLeadership() const;
   [[nodiscard]] std::string addressOf(const wire::raft_member &Member) const;
+  //! Returns the address that the settings give \p HostId, or nothing.
+  [[nodiscard]] std::optional<std::string>
+  settingsAddress(const std::string &HostId) const;
 
   boost::asio::io_context &Io;
   options Options;
@@ -105,6 +114,10 @@
   std::uint64_t Applied = 0;
   std::uint64_t SnapshotIndex = 0;
   std::uint64_t ConnectedConfig = 0;
+  std::size_t ConnectedHosts = 0; //!< Known hosts when last connected.
+  std::uint64_t LoggedConfig = 0;
+  std::map<std::string, std::string> LoggedMembers; //!< Role by host id.
+  std::string LoggedRefusal;
   std::uint64_t LeaderTerm = 0;
   raft_time BootstrapDue{};
   bool Leading = false;
--- a/src/pomeloswitch/raft/raft_membership.cpp
+++ b/src/pomeloswitch/raft/raft_membership.cpp
@@ -1,4 +1,7 @@
 //! Membership changes, one member at a time.
+//!
+//! The group keeps the number of voters that it was founded with. Further
+//! members are learners, which stand in for voters that are lost.
 #include "pomeloswitch/raft/raft_core.hpp"
 
 #include <fmt/format.h>
@@ -8,6 +11,8 @@
 namespace pomelo {
 namespace {
 
+constexpr int MaxRemovedReplicas = 16;
+
 wire::raft_member *find(wire::raft_config &Config, const std::string &HostId) {
   for (wire::raft_member &Member : *Config.mutable_members())
     if (Member.host_id() == HostId)
@@ -41,14 +46,15 @@
          Member->replica_id() == Identity.replica_id();
 }
 
-std::size_t raft_core::quorum() const {
+std::size_t raft_core::voterCount() const {
   const auto &Members = Log.config().members();
-  const auto Voters = std::count_if(
+  return static_cast<std::size_t>(std::count_if(
       Members.begin(), Members.end(),
-      [](const wire::raft_member &Member) { return Member.voter(); });
-  return static_cast<std::size_t>(Voters) / 2 + 1;
+      [](const wire::raft_member &Member) { return Member.voter(); }));
 }
 
+std::size_t raft_core::quorum() const { return voterCount() / 2 + 1; }
+
 std::optional<std::string> raft_core::changeRefusal() const {
   if (Role != raft_role::Leader)
     return "this host is not the leader";
@@ -71,22 +77,40 @@
 
 std::optional<std::string>
 raft_core::addLearner(const wire::raft_member &Member) {
-  if (findMember(Member.host_id()))
-    return fmt::format("\"{}\" is already a member", Member.host_id());
   if (!Member.replaces().empty() && !findMember(Member.replaces()))
     return fmt::format("\"{}\" is not a member", Member.replaces());
   wire::raft_config Config = Log.config();
-  *Config.add_members() = Member;
-  Config.mutable_members()->rbegin()->set_voter(false);
+  wire::raft_member *Added = find(Config, Member.host_id());
+  if (Added && Added->voter())
+    return fmt::format("\"{}\" is already a member", Member.host_id());
+  if (!Added) {
+    Added = Config.add_members();
+    *Added = Member;
+    Added->set_voter(false);
+  }
+  Added->set_replaces(Member.replaces());
+  if (Member.replaces().empty() && Config.voters_wanted() > 0)
+    Config.set_voters_wanted(std::max(
+        Config.voters_wanted(), static_cast<std::uint32_t>(voterCount()) + 1));
   return proposeConfig(std::move(Config));
 }
 
 std::optional<std::string> raft_core::removeMember(const std::string &HostId) {
-  if (!findMember(HostId))
+  const wire::raft_member *Removed = findMember(HostId);
+  if (!Removed)
     return fmt::format("\"{}\" is not a member", HostId);
   if (isVoter(HostId) && quorum() == 1)
     return "the last voter cannot be removed";
   wire::raft_config Config = Log.config();
+  if (!Removed->replica_id().empty()) {
+    Config.add_removed_replicas(Removed->replica_id());
+    if (Config.removed_replicas_size() > MaxRemovedReplicas)
+      Config.mutable_removed_replicas()->DeleteSubrange(0, 1);
+  }
+  const auto Left = static_cast<std::uint32_t>(Config.members_size()) - 1;
+  const std::uint32_t Wanted =
+      Config.voters_wanted() - (Removed->voter() && Config.voters_wanted() > 0);
+  Config.set_voters_wanted(std::min(Wanted, Left));
   erase(Config, HostId);
   return proposeConfig(std::move(Config));
 }
@@ -109,33 +133,137 @@
   Progress = std::move(Rebuilt);
 }
 
-//! Proposes the next pending membership change: promotes a learner that has all
-//! committed entries to a voter, then removes the host that it replaces. A
-//! leader that is no longer a member itself steps down.
-void raft_core::advanceMembership() {
+//! Proposes the next pending membership change, if there is one. A leader that
+//! is no longer a member itself steps down.
+void raft_core::advanceMembership(raft_time Now) {
+  for (auto &[HostId, Member] : Progress)
+    if (Member.AddedAt == raft_time())
+      Member.AddedAt = Now;
   if (changeRefusal())
     return;
-  wire::raft_config Config = Log.config();
-  if (!find(Config, Options.HostId)) {
+  if (!findMember(Options.HostId)) {
     Role = raft_role::Follower;
     LeaderId.clear();
     return Progress.clear();
   }
+  if (!removeReplacedVoter(Now) && !promoteLearner(Now))
+    removeSilentLearner(Now);
+}
+
+//! Ends a replacement: the replaced voter goes, unless it answers and the new
+//! one does not any more.
+bool raft_core::removeReplacedVoter(raft_time Now) {
+  wire::raft_config Config = Log.config();
   for (wire::raft_member &Member : *Config.mutable_members()) {
-    if (Member.voter() && !Member.replaces().empty()) {
-      const std::string Replaced = Member.replaces();
+    if (!Member.voter() || Member.replaces().empty())
+      continue;
+    const std::string Replaced = Member.replaces();
+    const std::string New = Member.host_id();
+    const bool KeepOld = silence(New, Now) >= Options.Times.ElectionMax &&
+                         silence(Replaced, Now) < Options.Times.ElectionMax &&
+                         findMember(Replaced);
+    Member.clear_replaces();
+    erase(Config, KeepOld ? New : Replaced);
+    proposeConfig(std::move(Config));
+    return true;
+  }
+  return false;
+}
+
+//! Makes a learner that has all committed entries a voter: in an empty place,
+//! or in that of the voter that it replaces. A silent one leaves its place
+//! first, so that the group needs no more votes meanwhile; one that answers
+//! leaves after, so that the group never bears less.
+bool raft_core::promoteLearner(raft_time Now) {
+  wire::raft_config Config = Log.config();
+  const bool PlaceFree =
+      Config.voters_wanted() == 0 || voterCount() < Config.voters_wanted();
+  for (wire::raft_member &Member : *Config.mutable_members()) {
+    if (Member.voter() || !isReady(Member, Now))
+      continue;
+    if (!findMember(Member.replaces()))
+      Member.clear_replaces();
+    if (!PlaceFree && Member.replaces().empty())
+      Member.set_replaces(lostVoterFor(Member, Now).value_or(""));
+    const std::string Replaced = Member.replaces();
+    if (!PlaceFree && Replaced.empty())
+      continue;
+    const bool FreesPlace = !PlaceFree && isVoter(Replaced) &&
+                            silence(Replaced, Now) >= Options.Times.ElectionMax;
+    if (FreesPlace) {
       Member.clear_replaces();
       erase(Config, Replaced);
-      proposeConfig(std::move(Config));
-      return;
-    }
-    if (!Member.voter() && !Member.replica_id().empty() &&
-        matchIndexOf(Member.host_id()) >= Commit) {
+    } else if (majorityWithOneMore(Now)) {
       Member.set_voter(true);
-      proposeConfig(std::move(Config));
-      return;
+    } else {
+      return false;
     }
+    proposeConfig(std::move(Config));
+    return true;
+  }
+  return false;
+}
+
+bool raft_core::isReady(const wire::raft_member &Learner, raft_time Now) const {
+  return !Learner.replica_id().empty() &&
+         matchIndexOf(Learner.host_id()) >= Commit &&
+         silence(Learner.host_id(), Now) < Options.Times.ElectionMax;
+}
+
+raft_time::duration raft_core::silence(const std::string &HostId,
+                                       raft_time Now) const {
+  const auto Found = Progress.find(HostId);
+  if (Found == Progress.end())
+    return {};
+  return Now -
+         std::max(Found->second.LastAnsweredSendTime, Found->second.AddedAt);
+}
+
+bool raft_core::majorityWithOneMore(raft_time Now) const {
+  const auto &Members = Log.config().members();
+  const auto InTouch = std::count_if(
+      Members.begin(), Members.end(), [&](const wire::raft_member &Member) {
+        return Member.voter() &&
+               silence(Member.host_id(), Now) < Options.Times.ElectionMax;
+      });
+  return static_cast<std::size_t>(InTouch) + 1 >= (voterCount() + 1) / 2 + 1;
+}
+
+std::optional<std::string>
+raft_core::lostVoterFor(const wire::raft_member &Learner, raft_time Now) const {
+  std::optional<std::string> Lost;
+  raft_time::duration Longest{};
+  for (const wire::raft_member &Member : Log.config().members()) {
+    if (!Member.voter())
+      continue;
+    const bool Near = !Learner.failure_domain().empty() &&
+                      Learner.failure_domain() == Member.failure_domain();
+    const raft_time::duration Silence = silence(Member.host_id(), Now);
+    if (Silence < (Near ? Options.Times.ReplaceWithinDomain
+                        : Options.Times.ReplaceAcrossDomains) ||
+        Silence <= Longest)
+      continue;
+    Longest = Silence;
+    Lost = Member.host_id();
+  }
+  return Lost;
+}
+
+//! Drops a learner that is not needed and does not answer, such as a replaced
+//! host that is gone. One that comes back asks to be taken in.
+bool raft_core::removeSilentLearner(raft_time Now) {
+  wire::raft_config Config = Log.config();
+  if (Config.voters_wanted() == 0 || voterCount() < Config.voters_wanted())
+    return false;
+  for (const wire::raft_member &Member : Config.members()) {
+    if (Member.voter() ||
+        silence(Member.host_id(), Now) < Options.Times.ReplaceAcrossDomains)
+      continue;
+    erase(Config, std::string(Member.host_id()));
+    proposeConfig(std::move(Config));
+    return true;
   }
+  return false;
 }
 
 //! Handles a host whose replica id differs from the configured one because its
--- a/src/pomeloswitch/raft/raft_replication.cpp
+++ b/src/pomeloswitch/raft/raft_replication.cpp
@@ -76,6 +76,7 @@
     return answerAppend(Message, false, Log.lastIndex());
   becomeFollower(Message.term(), Message.from_host(), Now);
   LastLeaderContact = Now;
+  JoinRefusal.clear();
   const auto KnownTerm = Log.termAt(Request.previous_index());
   if (Request.previous_index() >= Log.firstIndex() - 1 &&
       KnownTerm != Request.previous_term()) {
--- a/src/pomeloswitch/raft/raft_types.hpp
+++ b/src/pomeloswitch/raft/raft_types.hpp
@@ -29,6 +29,14 @@
   std::chrono::milliseconds LeaderLease{350};
   //! Interval after which an unanswered snapshot is sent again.
   std::chrono::milliseconds SnapshotRetry{3000};
+  //! A host asks to be taken in once it has had no leader for JoinAfter, then
+  //! every JoinInterval. A blank host asks at once.
+  std::chrono::milliseconds JoinAfter{1500};
+  std::chrono::milliseconds JoinInterval{300};
+  //! A voter that is silent for this long is replaced by a learner of its own
+  //! failure domain, or by one of another.
+  std::chrono::milliseconds ReplaceWithinDomain{2000};
+  std::chrono::milliseconds ReplaceAcrossDomains{10000};
 };
 
 //! Limits on the entries sent to one follower.
--- a/tests/raft/raft_group.cpp
+++ b/tests/raft/raft_group.cpp
@@ -13,6 +13,15 @@
 constexpr milliseconds StepTime{10};
 constexpr std::uint64_t EntriesPerSnapshot = 40;
 
+std::vector<host_address> foundersOf(unsigned HostCount) {
+  std::vector<host_address> Founders;
+  for (unsigned Number = 1; Number <= HostCount; ++Number) {
+    const std::string Id = fmt::format("c{}", Number);
+    Founders.push_back({Id, Id});
+  }
+  return Founders;
+}
+
 } // namespace
 
 raft_group::raft_group(unsigned HostCount, std::uint64_t Seed,
@@ -21,23 +30,53 @@
   wire::raft_config Config;
   for (unsigned Number = 1; Number <= HostCount; ++Number) {
     const std::string Id = fmt::format("c{}", Number);
+    Hosts[Id].Seeds = foundersOf(HostCount);
     addHost(Id);
     wire::raft_member *Member = Config.add_members();
     Member->set_host_id(Id);
     Member->set_replica_id(Hosts[Id].Disk.Identity.replica_id());
     Member->set_voter(true);
+    Member->set_failure_domain(Hosts[Id].FailureDomain);
+    Member->set_address(Id);
   }
+  Config.set_voters_wanted(HostCount);
   Hosts["c1"].Core->bootstrap(Config, Now);
   for (unsigned Number = 1; Number <= Outsiders; ++Number)
     addHost(fmt::format("c{}", HostCount + Number));
 }
 
+std::vector<std::string> raft_group::hostIds() const {
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Host] : Hosts)
+    Ids.push_back(Id);
+  return Ids;
+}
+
 void raft_group::addHost(const std::string &Id) {
   Hosts[Id].Id = Id;
+  Hosts[Id].FailureDomain = "domain of " + Id;
   resetDisk(Hosts[Id]);
   start(Id);
 }
 
+void raft_group::addJoiningHost(const std::string &Id,
+                                const std::string &FailureDomain,
+                                const std::vector<std::string> &Seeds) {
+  fake_host &Host = Hosts[Id];
+  Host.Id = Id;
+  Host.FailureDomain = FailureDomain;
+  Host.MayFound = false;
+  for (const std::string &Seed : Seeds)
+    Host.Seeds.push_back({Seed, Seed});
+  resetDisk(Host);
+  start(Id);
+}
+
+void raft_group::removeHost(const std::string &Id) {
+  crash(Id, false);
+  Hosts.at(Id).InactiveUntil = raft_time::max();
+}
+
 void raft_group::resetDisk(fake_host &Host) {
   Host.Disk = stored_state();
   Host.Disk.Identity.set_replica_id(fmt::format("r{}", NextReplica++));
@@ -50,6 +89,10 @@
   Host.AppliedIndex = Host.SnapshotIndex = 0;
   raft_core::options Options;
   Options.HostId = Id;
+  Options.FailureDomain = Host.FailureDomain;
+  Options.Address = Id;
+  Options.KnownHosts = Host.Seeds;
+  Options.MayFound = Host.MayFound;
   Options.RunId = Random();
   Options.Random = [this] { return Random(); };
   Options.Limits.MaxMessageBytes = 200;
@@ -67,6 +110,7 @@
 void raft_group::loseDisk(const std::string &Id) {
   crash(Id, false);
   resetDisk(Hosts[Id]);
+  Hosts[Id].MayFound = false;
 }
 
 raft_time raft_group::endDay(const std::set<std::string> &DiskLost,
@@ -256,6 +300,18 @@
     ++Proposed;
 }
 
+std::set<std::string> raft_group::voters() {
+  std::set<std::string> Found;
+  const fake_host *Leader = leader();
+  if (!Leader || !Leader->Core->leadershipConfirmed(Now) ||
+      Leader->Core->commitIndex() < Leader->Core->log().configIndex())
+    return Found;
+  for (const auto &Member : Leader->Core->log().config().members())
+    if (Member.voter())
+      Found.insert(Member.host_id());
+  return Found;
+}
+
 bool raft_group::allHostsAreVoters() const {
   for (const auto &[Id, Host] : Hosts) {
     if (!Host.Core)
--- a/tests/raft/raft_group.hpp
+++ b/tests/raft/raft_group.hpp
@@ -36,6 +36,10 @@
 //! One simulated control host.
 struct fake_host {
   std::string Id;
+  std::string FailureDomain;
+  bool MayFound = true;
+  //! Hosts that its settings name.
+  std::vector<host_address> Seeds;
   std::unique_ptr<raft_core> Core; //!< Null while the host is down.
   stored_state Disk;
   std::optional<storage_batch> PendingWrite;
@@ -65,8 +69,15 @@
   }
 
   fake_host &host(const std::string &Id) { return Hosts.at(Id); }
+  [[nodiscard]] std::vector<std::string> hostIds() const;
   //! Starts a host with an empty disk that is not a member of the group.
   void addHost(const std::string &Id);
+  //! Starts a host with an empty disk and no right to found a group, whose
+  //! settings name the hosts of \p Seeds. It asks to be taken in.
+  void addJoiningHost(const std::string &Id, const std::string &FailureDomain,
+                      const std::vector<std::string> &Seeds);
+  //! Stops a host for good.
+  void removeHost(const std::string &Id);
   //! Stops a host. A batch that is being written becomes durable if
   //! \p PersistPendingWrite is set and is lost otherwise.
   void crash(const std::string &Id, bool PersistPendingWrite);
@@ -86,6 +97,9 @@
   fake_host *leader();
   //! Proposes a numbered command to the leader, if there is one.
   void propose();
+  //! Returns the voters of the leader's committed configuration; empty without
+  //! a confirmed leader.
+  std::set<std::string> voters();
   bool allHostsAreVoters() const;
   bool allHostsAgree() const;
   //! Returns whether all members in the leader's committed configuration are
