Request log: the state by which a request was planned

The lines told only the state at the end, so a request that was planned by an older configuration looked like one of the newest.

--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -170,6 +170,13 @@
   }
   if (State.index() == Before)
     return;
+  if (!LeaseWasValid)
+    Log.event(log_level::Info, "state_read",
+              {{"from", Host.Id},
+               {"index", State.index()},
+               {"entries", Batch.entries_size()},
+               {"bytes", Batch.ByteSizeLong()},
+               {"config", State.configurationNumber()}});
   Schedule.setHostCount(State.entryHosts().size());
   Callbacks.OnState(State);
   takeLease();
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -143,8 +143,9 @@
 //! requests are sampled by the caller's request id, so that every host selects
 //! the same ones.
 void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
-  const bool Routine =
-      !Refusal && !CallerDisconnected && History.sendCount() <= 1;
+  const bool Routine = !Refusal && !CallerDisconnected &&
+                       History.sendCount() <= 1 &&
+                       Plan.ConfigNumber == View->ConfigNumber;
   if (Routine && !sampled(RequestId))
     return;
   const auto Now = steady_clock::now();
@@ -153,6 +154,8 @@
       {"route", Plan.Route.Name},
       {"service", Plan.Service},
       {"account", Plan.Account},
+      {"planned_config", Plan.ConfigNumber},
+      {"planned_index", Plan.Index},
       {"config", View->ConfigNumber},
       {"index", View->Index},
       {"lease_left_ms", millisecondsOf(Context.RoutingLease.remaining())},
--- a/src/pomeloswitch/http/request_plan.cpp
+++ b/src/pomeloswitch/http/request_plan.cpp
@@ -98,6 +98,8 @@
   if (!Route)
     throw pomelo_error(error_kind::NoRoute, "no route matches the request");
   request_plan Plan;
+  Plan.ConfigNumber = View.ConfigNumber;
+  Plan.Index = View.Index;
   Plan.Keys = View.Keys;
   Plan.Route = *Route;
   Plan.Priority = Route->Priority;
--- a/src/pomeloswitch/http/request_plan.hpp
+++ b/src/pomeloswitch/http/request_plan.hpp
@@ -18,6 +18,9 @@
 
 //! Routing decisions for one request.
 struct request_plan {
+  // The state that the plan was made by.
+  std::uint64_t ConfigNumber = 0; //!< Given by the operators, for logs.
+  std::uint64_t Index = 0;
   route Route;
   std::string Service; //!< Selected by weight from the route's parts.
   std::uint32_t Priority = 0;
