A request follows the configuration while it waits

Symptom: CONFIG, handled as an older version says, 10 to 18 s after a newer one was acknowledged, by hosts that had just started. Cause: a request was planned once, on arrival. One on an open route that is divided by key was planned without a lease, by whatever part of the log the host had read, waited, and was sent by that plan when the lease came. Any wait, also under a lease, could outlast the configuration. Class: a decision outlives the state that it was made by. No plan without a lease but for isolated open routes. Tests: state_before_the_lease/keyed, waiting_request route_moved and route_removed failed before, pass now.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -180,12 +180,12 @@
   RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = planRequest();
   Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
-  if (Plan.Route.Access == route_access::Account) {
-    if (!Context.RoutingLease.valid())
-      co_await planAgainWithLease();
-    if (Plan.RateLimited)
-      co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
+  if (!Context.RoutingLease.valid() && !mayPlanWithoutLease()) {
+    co_await awaitLease();
+    planAgain();
   }
+  if (Plan.RateLimited)
+    co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
   AdmittedAt = steady_clock::now();
   Context.Retries.earn(Plan.Service, View->EntryHosts);
   co_await continueIfExpected();
@@ -203,7 +203,7 @@
 //! meanwhile, and such a refusal would be final.
 request_plan exchange::planRequest() const {
   try {
-    return makeRequestPlan(Request, Context);
+    return makeRequestPlan(Request, Context, Plan.Service);
   } catch (const pomelo_error &Refusal) {
     const bool ByState = Refusal.kind() == error_kind::NoRoute ||
                          Refusal.kind() == error_kind::Unauthenticated;
@@ -213,16 +213,36 @@
   throw pomelo_error(error_kind::NotAuthoritative, LostContact);
 }
 
-//! Waits for a lease and plans by the state that it vouches for: the one that
-//! the request met may be much older.
-asio::awaitable<void> exchange::planAgainWithLease() {
-  co_await awaitLease();
-  const auto Deadline = Plan.Deadline;
-  const auto DeadlineUnixMs = Plan.DeadlineUnixMs;
+//! Whether the route is served for some time after the host has lost contact,
+//! by the state that its last lease vouched for.
+bool exchange::mayPlanWithoutLease() const {
+  const auto Isolation = milliseconds(Context.View->Rules->OpenIsolationMs);
+  return Plan.Route.Access == route_access::Open && !Plan.Key &&
+         Context.RoutingLease.remaining() + Isolation > milliseconds(0);
+}
+
+//! Plans by the latest state: the one that the request met may be much older.
+void exchange::planAgain() {
+  request_plan Changed = planRequest();
+  if (Changed.Account != Plan.Account && AdmittedAt)
+    throw pomelo_error(error_kind::NotAuthoritative,
+                       "the account of the key changed while the request "
+                       "waited");
+  Changed.Deadline = Plan.Deadline;
+  Changed.DeadlineUnixMs = Plan.DeadlineUnixMs;
+  Plan = std::move(Changed);
   View = Context.View;
-  Plan = planRequest();
-  Plan.Deadline = Deadline;
-  Plan.DeadlineUnixMs = DeadlineUnixMs;
+  Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
+}
+
+//! Plans the request again if the configuration has changed since. Returns
+//! whether it has.
+bool exchange::followConfiguration() {
+  View = Context.View;
+  if (Plan.madeBy(*View))
+    return false;
+  planAgain();
+  return true;
 }
 
 asio::awaitable<void> exchange::continueIfExpected() {
@@ -429,20 +449,29 @@
 
 //! Waits until a target is available for the request.
 asio::awaitable<slot_owner> exchange::awaitTarget() {
+  std::optional<slot_owner> Owner;
+  while (!Owner)
+    Owner = co_await awaitPlannedTarget();
+  TriedTargets.push_back(Owner->Target->Member.TargetId);
+  co_return *Owner;
+}
+
+//! Returns nothing if the request was planned again.
+asio::awaitable<std::optional<slot_owner>> exchange::awaitPlannedTarget() {
+  followConfiguration();
   asio::steady_timer Timer(Context.Io);
   target_selection TargetWait(Context.Sending, makePendingRequest(),
                               steady_clock::now());
   for (;;) {
     checkCallerConnected();
-    View = Context.View;
+    if (followConfiguration())
+      co_return std::nullopt;
     const auto Now = steady_clock::now();
     const auto Owner =
         TargetWait.decide(*View, Context.RoutingLease.valid(), Now);
     Slot = TargetWait.slot();
-    if (Owner) {
-      TriedTargets.push_back(Owner->Target->Member.TargetId);
-      co_return *Owner;
-    }
+    if (Owner)
+      co_return Owner;
     Timer.expires_after(target_selection::PollInterval);
     co_await Timer.async_wait(asio::use_awaitable);
   }
@@ -467,17 +496,13 @@
   if (Now >= Plan.Deadline)
     throw pomelo_error(error_kind::DeadlineExceeded,
                        "the deadline passed before the request was sent");
-  const bool Open = Plan.Route.Access == route_access::Open;
-  auto Left = Context.RoutingLease.remaining();
-  if (Open && !Plan.Key)
-    Left += milliseconds(View->Rules->OpenIsolationMs);
-  if (Left.count() <= 0)
+  if (!Context.RoutingLease.valid() && !mayPlanWithoutLease())
     throw pomelo_error(error_kind::NotAuthoritative, LostContact);
-  // The account key may have been withdrawn while this request waited for its
-  // body or for a connection.
-  if (!Open && Context.View->Keys != Plan.Keys)
-    authenticate(*Context.View->Keys, Context.ClusterSecret,
-                 Request.get()[http::field::authorization]);
+  // The configuration may have changed while this request waited for its body
+  // or for a connection. The next attempt follows it.
+  if (!Plan.madeBy(*Context.View))
+    throw pomelo_error(error_kind::UpstreamFailed,
+                       "the configuration changed before the request was sent");
   // The routing view that selected the target may have been replaced while this
   // request waited for a connection.
   if (!mayStillSend(*Context.View, Plan.Service, Owner))
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -45,7 +45,9 @@
 private:
   boost::asio::awaitable<void> serve();
   [[nodiscard]] request_plan planRequest() const;
-  boost::asio::awaitable<void> planAgainWithLease();
+  [[nodiscard]] bool mayPlanWithoutLease() const;
+  void planAgain();
+  bool followConfiguration();
   boost::asio::awaitable<void> continueIfExpected();
   [[nodiscard]] std::string fingerprint() const;
   void rejectPoisonRequest() const;
@@ -58,6 +60,7 @@
            in_flight_table::in_flight_request &InFlight);
   boost::asio::awaitable<void> awaitLease();
   boost::asio::awaitable<slot_owner> awaitTarget();
+  boost::asio::awaitable<std::optional<slot_owner>> awaitPlannedTarget();
   [[nodiscard]] pending_request makePendingRequest() const;
   void checkCallerConnected() const;
   void observeCaller();
--- a/src/pomeloswitch/http/request_plan.cpp
+++ b/src/pomeloswitch/http/request_plan.cpp
@@ -57,9 +57,13 @@
     Plan.Priority = Account->Priority.value_or(Plan.Priority);
 }
 
-const std::string &selectPart(const route &Route, random_engine &Random) {
+const std::string &selectPart(const route &Route, std::string_view Chosen,
+                              random_engine &Random) {
   if (Route.Destinations.size() == 1)
     return Route.Destinations.front().Service;
+  for (const route_destination &Part : Route.Destinations)
+    if (Part.Service == Chosen && Part.Weight > 0)
+      return Part.Service;
   std::vector<double> Weights;
   for (const route_destination &Part : Route.Destinations)
     Weights.push_back(Part.Weight);
@@ -82,7 +86,8 @@
 } // namespace
 
 request_plan makeRequestPlan(const request_stream_parser &Request,
-                             traffic_context &Context) {
+                             traffic_context &Context,
+                             std::string_view ChosenPart) {
   const routing_view &View = *Context.View;
   if (!View.Rules || View.Rules->Routes.empty())
     throw pomelo_error(
@@ -100,12 +105,13 @@
   request_plan Plan;
   Plan.ConfigNumber = View.ConfigNumber;
   Plan.Index = View.Index;
+  Plan.Rules = View.Rules;
   Plan.Keys = View.Keys;
   Plan.Route = *Route;
   Plan.Priority = Route->Priority;
   if (Route->Access == route_access::Account)
     identifyAccount(Plan, Header, Context);
-  Plan.Service = selectPart(*Route, Context.Sending.Random);
+  Plan.Service = selectPart(*Route, ChosenPart, Context.Sending.Random);
   const key_source &Source = keySourceOf(Plan, View);
   if (!Source.none()) {
     Plan.Key = extractKey(Source, Facts);
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -34,6 +34,12 @@
     ValidUntil.store(Until.time_since_epoch().count(),
                      std::memory_order_release);
   }
+  //! As if there had never been a lease: the state is known to be outdated.
+  void forget() { extendTo(lease_time()); }
+  //! Whether the state that the host routes by was ever vouched for.
+  [[nodiscard]] bool everGranted() const {
+    return ValidUntil.load(std::memory_order_acquire) != 0;
+  }
   //! Time until the lease expires; negative afterwards.
   [[nodiscard]] lease_time::duration remaining() const {
     const lease_time Until(
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <future>
+#include <limits>
 #include <thread>
 
 namespace pomelo {
@@ -301,22 +302,74 @@
                                   "9\r\n\r\nhalf"),
                            "unknown"}));
 
+class state_before_the_lease : public testing::TestWithParam<std::string> {};
+
 // The state that a host has at its start, or after a cut, may be much older.
-TEST(exchange, obeys_no_state_from_before_its_lease) {
+TEST_P(state_before_the_lease, is_not_obeyed_once_it_has_one) {
   scripted_target Target(writes(CompleteResponse));
   traffic_fixture Traffic(Target.address(), 1);
-  Traffic.endLease();
+  Traffic.forgetLease();
   auto Answer = std::async(std::launch::async, [&Traffic] {
-    return Traffic.call("POST", "/claimed", "body");
+    return Traffic.call("POST", GetParam() + "?key=1", "body");
   });
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
-  Traffic.removeClaimedRoute();
+  Traffic.removeRoute(GetParam());
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
   Traffic.regainLease();
   EXPECT_EQ(Answer.get().Header.at("Pomelo-Error"), "no_route");
   EXPECT_EQ(Target.requests(), 0U);
 }
 
+INSTANTIATE_TEST_SUITE_P(each_access, state_before_the_lease,
+                         testing::Values("/claimed", "/keyed"));
+
+//! A change of the configuration while a request waits for a target.
+struct change_while_waiting {
+  std::string Name;
+  std::function<void(rules &)> Change;
+  int Status = 0;
+};
+
+void PrintTo(const change_while_waiting &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class waiting_request : public testing::TestWithParam<change_while_waiting> {};
+
+TEST_P(waiting_request, follows_the_configuration) {
+  scripted_target Target(writes(CompleteResponse));
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.changeView([](routing_view &View) {
+    View.Services["other"] = View.Services["s"];
+    View.Services["s"].Targets.clear();
+  });
+  auto Answer = std::async(std::launch::async, [&Traffic] {
+    return Traffic.call("POST", "/unsafe", "body");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Traffic.changeRules(GetParam().Change);
+  EXPECT_EQ(Answer.get().Status, GetParam().Status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_change, waiting_request,
+    testing::Values(
+        change_while_waiting{"route_moved",
+                             [](rules &Rules) {
+                               for (route &Route : Rules.Routes)
+                                 Route.Destinations = {{"other", 1}};
+                             },
+                             200},
+        change_while_waiting{"route_removed",
+                             [](rules &Rules) { Rules.Routes.resize(1); }, 404},
+        change_while_waiting{"key_required",
+                             [](rules &Rules) {
+                               for (route &Route : Rules.Routes)
+                                 Route.Access = route_access::Account;
+                             },
+                             503}),
+    [](const auto &Info) { return Info.param.Name; });
+
 // A route or a key may have been added since the host lost contact.
 TEST(exchange, denies_no_route_or_key_while_out_of_touch) {
   scripted_target Target(writes(CompleteResponse));
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -94,18 +94,31 @@
   }
   //! Ends the host's lease, as if it had lost contact.
   void endLease() { RoutingLease.extendTo(lease_clock::now()); }
-  //! Publishes a routing view without the route /claimed.
-  void removeClaimedRoute() {
-    boost::asio::post(Io, [this] {
+  //! Publishes a routing view that \p Change has modified.
+  void changeView(std::function<void(routing_view &)> Change) {
+    boost::asio::post(Io, [this, Change = std::move(Change)] {
       auto View = std::make_shared<routing_view>(*Context.View);
-      auto Rules = std::make_shared<rules>(*View->Rules);
-      std::erase_if(Rules->Routes, [](const route &Each) {
-        return Each.PathPrefix == "/claimed";
-      });
-      View->Rules = std::move(Rules);
+      Change(*View);
       Context.View = View;
     });
   }
+  //! Publishes a routing view whose rules \p Change has modified.
+  void changeRules(std::function<void(rules &)> Change) {
+    changeView([Change = std::move(Change)](routing_view &View) {
+      auto Rules = std::make_shared<rules>(*View.Rules);
+      Change(*Rules);
+      View.Rules = std::move(Rules);
+    });
+  }
+  void removeRoute(const std::string &PathPrefix) {
+    changeRules([PathPrefix](rules &Rules) {
+      std::erase_if(Rules.Routes, [&PathPrefix](const route &Each) {
+        return Each.PathPrefix == PathPrefix;
+      });
+    });
+  }
+  //! As a host that has not had a lease since its start.
+  void forgetLease() { RoutingLease.forget(); }
   void regainLease() {
     RoutingLease.extendTo(lease_clock::now() + std::chrono::hours(1));
   }
@@ -117,11 +130,7 @@
     Report.set_target_id("t0");
     auto Crashes = std::make_shared<crash_table>();
     Crashes->report(Report, 1);
-    boost::asio::post(Io, [this, Crashes] {
-      auto View = std::make_shared<routing_view>(*Context.View);
-      View->Crashes = Crashes;
-      Context.View = View;
-    });
+    changeView([Crashes](routing_view &View) { View.Crashes = Crashes; });
   }
   //! Begins the stop of the caller server on its thread once \p Ready returns
   //! true; the thread is blocked until then.
@@ -165,6 +174,7 @@
     for (unsigned Number = 0; Number < Members; ++Number) {
       auto Target = std::make_shared<routing_target>();
       Target->Member.TargetId = "t" + std::to_string(Number);
+      Target->Member.FailureDomain = "a";
       Target->Address = Address;
       Target->ConnectionShare = 8;
       View->Targets[Target->Member.TargetId] = Target;
