A host that never had a lease serves no open route

An open route is served for some time after the lease has ended; a missing lease was an end at time 0 of the machine's clock, so a machine that had started less than that time before served open routes by any part of the log. Refuted as the cause of the traced requests: the hosts' clocks stood at 62,129 s and 70,175 s, beyond the hour of isolation. Tests: serves_no_open_route_before_its_first_lease and state_before_the_lease/safe failed before, pass now.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -218,6 +218,7 @@
 bool exchange::mayPlanWithoutLease() const {
   const auto Isolation = milliseconds(Context.View->Rules->OpenIsolationMs);
   return Plan.Route.Access == route_access::Open && !Plan.Key &&
+         Context.RoutingLease.everGranted() &&
          Context.RoutingLease.remaining() + Isolation > milliseconds(0);
 }
 
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -321,7 +321,23 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(each_access, state_before_the_lease,
-                         testing::Values("/claimed", "/keyed"));
+                         testing::Values("/claimed", "/keyed", "/safe"));
+
+// A host that starts may read the state of a control host that lags far behind,
+// and a machine may have started less than the time of isolation ago.
+TEST(exchange, serves_no_open_route_before_its_first_lease) {
+  scripted_target Target(writes(CompleteResponse));
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.changeRules([](rules &Rules) {
+    Rules.OpenIsolationMs = std::numeric_limits<std::uint32_t>::max();
+  });
+  Traffic.endLease();
+  EXPECT_EQ(Traffic.call("GET", "/safe").Status, 200U);
+  Traffic.forgetLease();
+  const auto Answer = Traffic.call("GET", "/safe");
+  EXPECT_EQ(Answer.Status, 503U);
+  EXPECT_EQ(Target.requests(), 1U);
+}
 
 //! A change of the configuration while a request waits for a target.
 struct change_while_waiting {
