A host that starts reads the state, not its history

Cause: a new subscriber got all entries that the log still held, each older configuration among them. Class: work after a start that grows with the past.

--- a/benchmarks/node_swarm.cpp
+++ b/benchmarks/node_swarm.cpp
@@ -1,5 +1,6 @@
 #include "node_swarm.hpp"
 
+#include "pomeloswitch/wire/packing.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -65,8 +66,12 @@
 
   void applyLogBatch(const wire::log_batch &Batch) {
     std::uint64_t Index = Heartbeat.applied_index();
-    if (Batch.has_snapshot())
-      Index = std::max<std::uint64_t>(Index, Batch.snapshot().index());
+    if (!Batch.packed_snapshot().empty()) {
+      wire::state_snapshot Snapshot;
+      if (!unpackMessage(Batch.packed_snapshot(), Snapshot))
+        throw std::runtime_error("cannot read a packed snapshot");
+      Index = std::max<std::uint64_t>(Index, Snapshot.index());
+    }
     for (const wire::log_entry &Entry : Batch.entries())
       Index = std::max<std::uint64_t>(Index, Entry.index());
     Heartbeat.set_applied_index(Index);
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -31,7 +31,6 @@
 constexpr milliseconds LogInterval{40};
 //! A longer gap between ticks means that this process was stalled.
 constexpr milliseconds StallThreshold{500};
-constexpr std::size_t BatchBytes = 256 * 1024;
 constexpr std::size_t MaxRetainedResults = 4096;
 constexpr milliseconds ActivityLogInterval{5000};
 
@@ -123,8 +122,8 @@
     : Io(Io), Settings(std::move(GivenSettings)), Activity(ActivityNames),
       Log(std::move(GivenLog)), Leases(leaseTimesOf(Settings)),
       Rates(Leases.times()), Planner(planner_limits()),
-      Orders(targetOrderTimes(Settings)), Caller(std::move(GivenCaller)),
-      Ticker(Io) {
+      Orders(targetOrderTimes(Settings)), Feed(State, *Log),
+      Caller(std::move(GivenCaller)), Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -372,28 +371,13 @@
 
 void control_host::sendLog(peer_link &Link, session &Session) {
   while (Session.NextIndex <= State.index() &&
-         Link.queuedBytes() < 4 * BatchBytes) {
-    wire::envelope Message;
-    auto *Batch = Message.mutable_log_batch();
-    const auto Entries = Log->entriesFrom(Session.NextIndex, BatchBytes);
-    if (!Entries) {
-      *Batch->mutable_snapshot() = State.toSnapshot();
-      Session.NextIndex = State.index() + 1;
-    } else {
-      for (const committed_entry &Entry : *Entries) {
-        if (Entry.Index > State.index())
-          break;
-        auto *Out = Batch->add_entries();
-        Out->set_index(Entry.Index);
-        Out->set_command(Entry.Command);
-        Session.NextIndex = Entry.Index + 1;
-      }
-      if (Batch->entries_size() == 0)
-        return;
-    }
-    Batch->set_commit_index(Log->commitIndex());
-    Batch->set_leader_id(Log->leaderId());
+         Link.queuedBytes() < 4 * state_feed::BatchBytes) {
     const activity_meter::timer Timer(Activity, SendLog);
+    auto Batch = Feed.next(Session.NextIndex);
+    if (!Batch)
+      return;
+    wire::envelope Message;
+    *Message.mutable_log_batch() = std::move(*Batch);
     Link.send(Message);
   }
 }
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -5,6 +5,7 @@
 
 #include "pomeloswitch/admission/rate_ledger.hpp"
 #include "pomeloswitch/control/admin_api.hpp"
+#include "pomeloswitch/control/state_feed.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/observe/activity_meter.hpp"
@@ -125,6 +126,7 @@
   load_table Loads;
   slot_planner Planner;
   order_scheduler Orders;
+  state_feed Feed;
   std::unique_ptr<target_caller> Caller; //!< Null if targets are not called.
   std::uint64_t OrderTerm = 0; //!< Recognizes results of earlier terms.
   std::map<std::uint64_t, apply_result> Results;
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/entry/control_session.hpp"
 
+#include "pomeloswitch/wire/packing.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -145,9 +146,13 @@
 }
 
 void control_session::applySnapshot(const wire::log_batch &Batch) {
-  if (!Batch.has_snapshot() || Batch.snapshot().index() <= State.index())
+  wire::state_snapshot Snapshot = Batch.snapshot();
+  if (!Batch.packed_snapshot().empty() &&
+      !unpackMessage(Batch.packed_snapshot(), Snapshot))
+    throw pomelo_error(error_kind::Internal, "cannot read a packed snapshot");
+  if (Snapshot.index() <= State.index())
     return;
-  State = cluster_state::fromSnapshot(Batch.snapshot());
+  State = cluster_state::fromSnapshot(Snapshot);
   Log.info("Installed a state snapshot at index {}.", State.index());
 }
 
--- a/src/pomeloswitch/state/configuration_packing.cpp
+++ b/src/pomeloswitch/state/configuration_packing.cpp
@@ -1,27 +1,15 @@
 #include "pomeloswitch/state/configuration_packing.hpp"
 
 #include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/wire/packing.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
-#include <google/protobuf/io/gzip_stream.h>
-#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
-
 #include <string>
 
 namespace pomelo {
-namespace {
-
-namespace io = google::protobuf::io;
-
-} // namespace
 
 void packConfiguration(wire::replace_configuration &Change) {
-  std::string Packed;
-  {
-    io::StringOutputStream Out(&Packed);
-    io::GzipOutputStream Deflated(&Out);
-    Change.SerializeToZeroCopyStream(&Deflated);
-  }
+  std::string Packed = packMessage(Change);
   const std::uint64_t Number = Change.number();
   Change.Clear();
   Change.set_number(Number);
@@ -32,11 +20,8 @@
 unpackConfiguration(const wire::replace_configuration &Change) {
   if (Change.packed().empty())
     return Change;
-  io::ArrayInputStream In(Change.packed().data(),
-                          static_cast<int>(Change.packed().size()));
-  io::GzipInputStream Inflated(&In);
   wire::replace_configuration Content;
-  if (!Content.ParseFromZeroCopyStream(&Inflated) ||
+  if (!unpackMessage(Change.packed(), Content) ||
       Content.number() != Change.number())
     throw pomelo_error(error_kind::InvalidChange,
                        "a packed configuration cannot be read");
