--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -208,6 +208,7 @@
 
 void raft_log::applyEntry(const wire::raft_entry &Entry) {
   Applied = Entry.index();
+  BytesSinceSnapshot += Entry.command().size();
   Applier.OnCommitted({Entry.index(), Entry.command()});
   const auto Found = Proposals.find(Entry.index());
   if (Found == Proposals.end())
@@ -283,16 +284,14 @@
 }
 
 void raft_log::takeSnapshotIfDue() {
-  if (Applied - SnapshotIndex < Options.SnapshotEntries &&
-      Core.log().bytes() < Options.SnapshotBytes)
-    return;
-  if (Applied < SnapshotIndex + 2)
+  const bool MemoryFull = Core.log().bytes() >= Options.MemoryBytes;
+  const bool ReplayLong = Applied - SnapshotIndex >= Options.ReplayEntries ||
+                          BytesSinceSnapshot >= Options.ReplayBytes;
+  if ((!MemoryFull && !ReplayLong) || Applied < SnapshotIndex + 2)
     return;
   SnapshotIndex = Applied;
-  // No applied entries are retained once the log has reached its size limit, to
-  // bound memory usage.
-  const bool Large = Core.log().bytes() >= Options.SnapshotBytes;
-  const std::uint64_t Retained = Large ? 0 : Options.RetainedEntries;
+  BytesSinceSnapshot = 0;
+  const std::uint64_t Retained = MemoryFull ? 0 : Options.RetainedEntries;
   Core.compact(Applied, Applier.TakeSnapshot(),
                Applied > Retained ? Applied - Retained : 0);
   scheduleAdvance();
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -34,10 +34,14 @@
     //! The hosts that found the group together; empty if this host may not.
     std::vector<host_address> Founders;
     raft_times Times;
-    //! A snapshot is taken once this many entries were applied since the last
-    //! one, or once the log entries in memory reach this size in bytes.
-    std::uint64_t SnapshotEntries = 8000;
-    std::size_t SnapshotBytes = std::size_t{8} << 20;
+    //! A snapshot is taken once this many entries, or bytes of entries, were
+    //! applied since the last one. A host that starts applies those after it
+    //! again before it can serve.
+    std::uint64_t ReplayEntries = 1000;
+    std::size_t ReplayBytes = std::size_t{128} << 10;
+    //! Size in bytes of the entries held in memory at which all that are
+    //! applied are dropped.
+    std::size_t MemoryBytes = std::size_t{8} << 20;
     //! Number of applied entries kept in memory after a snapshot, so that hosts
     //! that lag behind can catch up without it.
     std::uint64_t RetainedEntries = 2000;
@@ -113,6 +117,7 @@
   std::map<std::uint64_t, pending_proposal> Proposals; //!< By log index.
   std::uint64_t Applied = 0;
   std::uint64_t SnapshotIndex = 0;
+  std::size_t BytesSinceSnapshot = 0; //!< Of applied entries.
   std::uint64_t ConnectedConfig = 0;
   std::size_t ConnectedHosts = 0; //!< Known hosts when last connected.
   std::uint64_t LoggedConfig = 0;
--- a/tests/raft/raft_log_test.cpp
+++ b/tests/raft/raft_log_test.cpp
@@ -1,7 +1,11 @@
 #include "pomeloswitch/raft/raft_log.hpp"
 
+#include "pomeloswitch/raft/file_storage.hpp"
+
 #include <gtest/gtest.h>
 
+#include <filesystem>
+
 namespace pomelo {
 namespace {
 
@@ -98,5 +102,75 @@
   EXPECT_EQ(Commands, "");
 }
 
+//! A log alone in its group, with a data folder that outlives it.
+class raft_log_restart : public testing::Test {
+protected:
+  raft_log_restart() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "pomelo-raft-XXXXXX")
+            .string();
+    Folder = mkdtemp(Pattern.data());
+  }
+  ~raft_log_restart() override {
+    Log.reset();
+    std::error_code Ignored;
+    std::filesystem::remove_all(Folder, Ignored);
+  }
+
+  void start() {
+    AppliedBytes = 0;
+    Log.reset();
+    raft_log::options Options;
+    Options.HostId = "c1";
+    Options.Members = Options.Founders = {{"c1", "127.0.0.1:1"}};
+    Log = std::make_unique<raft_log>(
+        Io, Options,
+        std::make_unique<file_storage>(Folder / "data", "c1",
+                                       std::make_unique<file_io>(),
+                                       Options.Founders));
+    replicated_log::applier Applier;
+    Applier.OnCommitted = [this](const committed_entry &Entry) {
+      AppliedBytes += Entry.Command.size();
+    };
+    Applier.OnLeadership = [this](bool Leading) { IsLeader = Leading; };
+    Applier.TakeSnapshot = [] { return std::string("state"); };
+    Applier.OnSnapshot = [](std::uint64_t, const std::string &) {};
+    Log->start(Applier);
+    const auto Deadline = std::chrono::steady_clock::now() + seconds(5);
+    while (!IsLeader && std::chrono::steady_clock::now() < Deadline)
+      Io.run_one_for(seconds(1));
+    ASSERT_TRUE(IsLeader);
+  }
+
+  void commit(const std::string &Command) {
+    bool Done = false;
+    Log->propose(Command, [&Done](const proposal_outcome &Outcome) {
+      EXPECT_EQ(Outcome.Failure, std::nullopt);
+      Done = true;
+    });
+    while (!Done)
+      Io.run_one_for(seconds(1));
+  }
+
+  std::filesystem::path Folder;
+  boost::asio::io_context Io;
+  std::unique_ptr<raft_log> Log;
+  std::size_t AppliedBytes = 0;
+  bool IsLeader = false;
+};
+
+// A control host that starts anew serves nobody until it has applied its log.
+TEST_F(raft_log_restart, applies_few_of_many_configurations_again) {
+  constexpr std::size_t ConfigurationBytes = 10000;
+  constexpr int Configurations = 100;
+  ASSERT_NO_FATAL_FAILURE(start());
+  for (int Number = 0; Number < Configurations; ++Number)
+    commit(std::string(ConfigurationBytes, 'c'));
+  Log->stop();
+  IsLeader = false;
+  ASSERT_NO_FATAL_FAILURE(start());
+  EXPECT_LE(AppliedBytes, ConfigurationBytes * Configurations / 4);
+}
+
 } // namespace
 } // namespace pomelo
