A host that reads newer state again is not isolated

Change: such an answer ends the isolation; open routes wait for the lease too. Test: pending_leases, tell_that_the_state_is_outdated_once_no_lease_covers_it.

--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -205,6 +205,8 @@
     subscribe(Host);
   PendingLeases.add(Ack.commit_index(), Until, lease_clock::now());
   takeLease();
+  if (PendingLeases.outdated(State.index(), lease_clock::now()))
+    Callbacks.OnOutdated();
   if (Ack.has_quota())
     Callbacks.OnQuota(Ack, Until);
   Callbacks.OnAck(Ack);
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -57,6 +57,9 @@
     std::function<void(const wire::heartbeat_ack &, lease_time)> OnQuota;
     //! Called when the host may route by its latest state until \p Until.
     std::function<void(lease_time Until)> OnLease;
+    //! Called when the host knows that its state is not the latest and has no
+    //! lease on it.
+    std::function<void()> OnOutdated;
     //! Called when the leader has recorded a heartbeat's target reports.
     std::function<void(const wire::heartbeat_ack &)> OnAck;
   };
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -120,6 +120,10 @@
     for (const auto &Thread : Threads)
       Thread->extendAuthority(Until);
   };
+  Callbacks.OnOutdated = [this] {
+    for (const auto &Thread : Threads)
+      Thread->endIsolation();
+  };
   Callbacks.OnAck = [this](const wire::heartbeat_ack &Ack) {
     Announcements->onAck(Ack);
   };
--- a/src/pomeloswitch/entry/pending_leases.cpp
+++ b/src/pomeloswitch/entry/pending_leases.cpp
@@ -24,6 +24,7 @@
     Until = Leases.front().Until;
     Leases.pop_front();
   }
+  TakenUntil = Until.value_or(TakenUntil);
   return Until;
 }
 
--- a/src/pomeloswitch/entry/pending_leases.hpp
+++ b/src/pomeloswitch/entry/pending_leases.hpp
@@ -24,6 +24,13 @@
   //! the latest, or nothing if there is none.
   std::optional<lease_time> take(std::uint64_t AppliedIndex);
 
+  //! Whether the leader has committed more than \p AppliedIndex, and no lease
+  //! vouches for that state any more.
+  [[nodiscard]] bool outdated(std::uint64_t AppliedIndex,
+                              lease_time Now) const {
+    return LatestIndex > AppliedIndex && TakenUntil <= Now;
+  }
+
   //! Log index that the lease granted last waits for.
   [[nodiscard]] std::uint64_t latestIndex() const { return LatestIndex; }
 
@@ -36,6 +43,7 @@
   std::deque<lease> Leases; //!< Ordered by index and by end.
   std::uint64_t LatestIndex = 0;
   lease_time LatestEnd{};
+  lease_time TakenUntil{}; //!< End of the latest lease that counts.
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -61,6 +61,10 @@
   boost::asio::post(Io, [this, Until] { RoutingLease.extendTo(Until); });
 }
 
+void traffic_thread::endIsolation() {
+  boost::asio::post(Io, [this] { RoutingLease.forget(); });
+}
+
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
   boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
     Context.Stopping = true;
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -44,6 +44,10 @@
   //! under the new lease.
   void extendAuthority(lease_time Until);
 
+  //! Any thread: the views so far are known to be outdated and may not serve
+  //! open routes without a new lease.
+  void endIsolation();
+
   //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
   //! once the last open request has been answered.
   void beginStop(std::function<void()> OnIdle);
--- a/tests/entry/pending_leases_test.cpp
+++ b/tests/entry/pending_leases_test.cpp
@@ -48,5 +48,18 @@
   EXPECT_FALSE(Leases.take(9));
 }
 
+// Such a host is in touch with the group and not isolated.
+TEST(pending_leases, tell_that_the_state_is_outdated_once_no_lease_covers_it) {
+  pending_leases Leases;
+  EXPECT_FALSE(Leases.outdated(0, Start));
+  Leases.add(9, Start + Lease, Start);
+  EXPECT_TRUE(Leases.outdated(8, Start));
+  EXPECT_EQ(Leases.take(9), Start + Lease);
+  EXPECT_FALSE(Leases.outdated(9, Start));
+  Leases.add(11, Start + 2 * Lease, Start);
+  EXPECT_FALSE(Leases.outdated(9, Start));
+  EXPECT_TRUE(Leases.outdated(9, Start + Lease));
+}
+
 } // namespace
 } // namespace pomelo
