No request is passed on that the end of the process would cut

Symptom, reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut with no answer, also such as may not be repeated (LOST). Cause: the notice and the grace are fixed, a route's deadline may be longer than what is left of them; nothing compared the two. Evidence: stop.refuses_what_it_could_not_finish_before_its_end failed before: the connection ended without an answer 0.7 s after the request. Change: once the stop has begun, a request's deadline ends before the process does, and one with less time than its route's latency objective is refused (draining: it has not run), on arrival and again before it is sent.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -17,6 +17,7 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 constexpr auto SpanInterval = std::chrono::milliseconds(500);
@@ -266,16 +267,20 @@
   Stopping = true;
   Session->announceStopping();
   Log.info("Stopping; waiting for open requests to finish.");
+  const milliseconds Notice(Settings.StopNoticeMs);
+  const milliseconds Grace(Settings.StopGraceMs);
+  for (const auto &Thread : Threads)
+    Thread->announceEnd(steady_clock::now() + Notice + Grace);
   // Keep accepting for a while: new callers arrive until the load balancer has
   // read the readiness endpoint.
-  StopTimer.expires_after(std::chrono::milliseconds(Settings.StopNoticeMs));
-  StopTimer.async_wait([this](boost::system::error_code Error) {
+  StopTimer.expires_after(Notice);
+  StopTimer.async_wait([this, Grace](boost::system::error_code Error) {
     if (Error)
       return;
     BusyThreads = Threads.size();
     for (const auto &Thread : Threads)
       Thread->beginStop([this] { asio::post(Io, [this] { onThreadIdle(); }); });
-    StopTimer.expires_after(std::chrono::milliseconds(Settings.StopGraceMs));
+    StopTimer.expires_after(Grace);
     StopTimer.async_wait([this](boost::system::error_code GraceError) {
       if (!GraceError)
         finishStop();
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -65,6 +65,10 @@
   boost::asio::post(Io, [this] { RoutingLease.forget(); });
 }
 
+void traffic_thread::announceEnd(std::chrono::steady_clock::time_point EndsAt) {
+  boost::asio::post(Io, [this, EndsAt] { Context.EndsAt = EndsAt; });
+}
+
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
   boost::asio::post(Io, [this, OnIdle = std::move(OnIdle)] {
     Context.Stopping = true;
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -48,6 +48,10 @@
   //! open routes without a new lease.
   void endIsolation();
 
+  //! Any thread: tells when the process ends. Requests that would hardly be
+  //! finished by then are refused.
+  void announceEnd(std::chrono::steady_clock::time_point EndsAt);
+
   //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
   //! once the last open request has been answered.
   void beginStop(std::function<void()> OnIdle);
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -36,6 +36,10 @@
 //! Closing immediately would reset the connection, and the caller could lose
 //! the response.
 constexpr auto LingerTime = std::chrono::seconds(1);
+//! Left at the end of the process for passing on the last responses.
+constexpr auto StopMargin = milliseconds(200);
+//! Time that a request needs on a route without a latency objective.
+constexpr auto DefaultNeed = milliseconds(1000);
 //! A new leader renews leases within this time.
 constexpr auto MaxLeaseWait = milliseconds(500);
 
@@ -179,6 +183,7 @@
 asio::awaitable<void> exchange::serve() {
   RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = planRequest();
+  boundByStop();
   Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
   if (!Context.RoutingLease.valid() && !mayPlanWithoutLease()) {
     co_await awaitLease();
@@ -236,6 +241,22 @@
   Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
 }
 
+//! While the host stops, no request may last longer than its process. One that
+//! would hardly be finished by then is refused; another host can take it.
+void exchange::boundByStop() {
+  if (!Context.EndsAt || Plan.Deadline <= *Context.EndsAt - StopMargin)
+    return;
+  const auto Left = *Context.EndsAt - StopMargin - steady_clock::now();
+  const auto Need = Plan.Route.LatencyGoalMs > 0
+                        ? milliseconds(Plan.Route.LatencyGoalMs)
+                        : DefaultNeed;
+  if (Left < Need)
+    throw pomelo_error(error_kind::Draining, "this entry host is stopping");
+  const auto Cut = Plan.Deadline - (*Context.EndsAt - StopMargin);
+  Plan.Deadline -= Cut;
+  Plan.DeadlineUnixMs -= millisecondsOf(Cut);
+}
+
 //! Plans the request again if the configuration has changed since. Returns
 //! whether it has.
 bool exchange::followConfiguration() {
@@ -340,6 +361,7 @@
 asio::awaitable<void>
 exchange::dispatch(const slot_owner &Owner, pooled_connection &Connection,
                    in_flight_table::in_flight_request &InFlight) {
+  boundByStop();
   if (Plan.Key)
     InFlight = in_flight_table::in_flight_request(
         Context.InFlightRequests, Plan.Service, Owner.Slot, Owner.Token,
@@ -595,7 +617,7 @@
 }
 
 asio::awaitable<void> exchange::writeResponse(text_response Response) {
-  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
+  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.EndsAt;
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
   if (Request.get().method() != http::verb::head) {
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -47,6 +47,7 @@
   [[nodiscard]] request_plan planRequest() const;
   [[nodiscard]] bool mayPlanWithoutLease() const;
   void planAgain();
+  void boundByStop();
   bool followConfiguration();
   boost::asio::awaitable<void> continueIfExpected();
   [[nodiscard]] std::string fingerprint() const;
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pomelo {
@@ -79,7 +80,9 @@
   span_sink *Spans = nullptr; //!< Null if tracing is disabled.
   crash_detector ConnectionLosses;
   request_state_client *Records = nullptr; //!< Set before the first request.
-  bool Stopping = false;
+  bool Stopping = false; //!< No connection is kept for a further request.
+  //! When the process ends, once its stop has begun.
+  std::optional<std::chrono::steady_clock::time_point> EndsAt;
 };
 
 } // namespace pomelo
