A refusal that names no request counts only on a connection of its own

Symptom, reported by another operator: a target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for what ran (REFUSED), or it ran a second time (TWICE). Cause: a response without the request's id was taken for this request's, and its refusal for a proof that nothing ran. A refused request's own connection was closed already, so only nameless bytes that come after the check for waiting input could do it. Change: on a connection that was used before, a response must name its request; else the outcome is unknown.

--- a/src/pomeloswitch/http/target_dialect.hpp
+++ b/src/pomeloswitch/http/target_dialect.hpp
@@ -23,6 +23,9 @@
   //! The request belongs to another target; set only together with NotRun.
   bool WrongTarget = false;
   bool OtherRequest = false; //!< The response belongs to an earlier request.
+  //! Whether the response names the request that it belongs to. One that does
+  //! not may be an earlier one that was written again.
+  bool NamesRequest = true;
   //! False if a required signature is missing or invalid.
   bool Authentic = true;
   std::optional<reported_load> Load;
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -126,8 +126,10 @@
       Final = co_await readHeader();
     Metadata = Dialect.parseMetadata(Response->get(), RequestId);
     MatchesRequest = !Metadata.OtherRequest;
-    if (!MatchesRequest)
+    if (!MatchesRequest) {
+      Connection.Reused = true;
       co_await discardResponse();
+    }
   }
   checkResponse();
 }
@@ -178,6 +180,9 @@
 }
 
 void target_dispatch::checkResponse() {
+  if (Connection.Reused && !Metadata.NamesRequest)
+    rejectResponse("the target's response names no request and may be an "
+                   "earlier one");
   if (Metadata.NotRun) {
     Progress = attempt_progress::NothingSent;
     throw pomelo_error(error_kind::UpstreamFailed,
@@ -208,6 +213,13 @@
          Connection.Buffer.size() == 0;
 }
 
+//! The metadata of a response that is not this request's must not decide
+//! anything.
+void target_dispatch::rejectResponse(const std::string &Reason) {
+  Metadata = {};
+  fail(attempt_failure::ProtocolError, Reason);
+}
+
 void target_dispatch::fail(attempt_failure Cause, const std::string &Reason) {
   FailureCause = Cause;
   throw pomelo_error(error_kind::OutcomeUnknown, Reason);
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -80,6 +80,7 @@
   [[noreturn]] void failRead(boost::system::error_code Error);
   boost::asio::awaitable<void> discardResponse();
   void checkResponse();
+  [[noreturn]] void rejectResponse(const std::string &Reason);
   [[noreturn]] void fail(attempt_failure Cause, const std::string &Reason);
 
   upstream_connection &Connection;
--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -34,6 +34,7 @@
 
 void pooled_connection::returnToPool() {
   Connection->LastActive = std::chrono::steady_clock::now();
+  Connection->Reused = true;
   Connection->Stream.expires_never();
   Pool->release(TargetKey, std::move(Connection));
 }
--- a/src/pomeloswitch/http/upstream_pool.hpp
+++ b/src/pomeloswitch/http/upstream_pool.hpp
@@ -31,6 +31,7 @@
   boost::beast::flat_buffer Buffer{MaxUpstreamBufferBytes};
   //! When it was opened or last returned to the pool.
   steady_time LastActive{};
+  bool Reused = false; //!< Whether an earlier request used it.
 };
 
 //! Which connections are acceptable for a request.
--- a/tests/http/endless_bytes_test.cpp
+++ b/tests/http/endless_bytes_test.cpp
@@ -1,4 +1,5 @@
 #include "endless_bytes.hpp"
+#include "strict_dialect.hpp"
 #include "traffic_fixture.hpp"
 
 #include <boost/asio/write.hpp>
@@ -26,48 +27,6 @@
 const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
 const std::string HugeLength = "Content-Length: 1000000000000\r\n\r\n";
 
-//! A dialect that also recognises responses to other requests and unsigned
-//! ones, and lets the end of the connection end a body.
-class strict_dialect final : public target_dialect {
-public:
-  [[nodiscard]] std::optional<milliseconds>
-  timeoutOf(const request_header &FromCaller) const override {
-    return Base.timeoutOf(FromCaller);
-  }
-  [[nodiscard]] std::string
-  requestIdOf(const request_header &FromCaller) const override {
-    return Base.requestIdOf(FromCaller);
-  }
-  [[nodiscard]] request_header
-  headerForTarget(const request_header &FromCaller,
-                  const dispatch_metadata &Metadata) const override {
-    return Base.headerForTarget(FromCaller, Metadata);
-  }
-  [[nodiscard]] response_header
-  headerForCaller(const response_header &FromTarget) const override {
-    return Base.headerForCaller(FromTarget);
-  }
-  [[nodiscard]] response_metadata
-  parseMetadata(const response_header &FromTarget,
-                std::string_view RequestId) const override {
-    response_metadata Metadata = Base.parseMetadata(FromTarget, RequestId);
-    Metadata.OtherRequest = FromTarget.count("Test-Other-Request") > 0;
-    Metadata.Authentic = FromTarget.count("Test-Unsigned") == 0;
-    return Metadata;
-  }
-  [[nodiscard]] bool allowsCloseDelimitedResponse() const override {
-    return true;
-  }
-  [[nodiscard]] text_response
-  errorResponse(const pomelo_error &Reason,
-                unsigned HttpVersion) const override {
-    return Base.errorResponse(Reason, HttpVersion);
-  }
-
-private:
-  pomelo_dialect Base;
-};
-
 const strict_dialect Dialect;
 
 milliseconds since(steady_clock::time_point Start) {
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -57,6 +57,7 @@
   bool NotRun = false;
   bool OtherRequest = false;
   bool Authentic = true;
+  bool NamesRequest = true;
 };
 
 void PrintTo(const answer_case &Case, std::ostream *Out) { *Out << Case.Name; }
@@ -73,6 +74,7 @@
   EXPECT_EQ(Facts.NotRun, GetParam().NotRun);
   EXPECT_EQ(Facts.OtherRequest, GetParam().OtherRequest);
   EXPECT_EQ(Facts.Authentic, GetParam().Authentic);
+  EXPECT_EQ(Facts.NamesRequest, GetParam().NamesRequest);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -98,9 +100,19 @@
                     {{"X-Request-Id", "id-2"}, {"X-Response-Signature", "s"}},
                     false,
                     true},
-        answer_case{"shed", 503, {{"X-Not-Executed", "1"}}, true},
-        answer_case{"other_target", 421, {}, true},
-        answer_case{"failure_that_ran", 503, {}, false}),
+        answer_case{"shed",
+                    503,
+                    {{"X-Request-Id", "id-1"}, {"X-Not-Executed", "1"}},
+                    true},
+        answer_case{"nameless_shed",
+                    503,
+                    {{"X-Not-Executed", "1"}},
+                    true,
+                    false,
+                    true,
+                    false},
+        answer_case{"other_target", 421, {}, true, false, true, false},
+        answer_case{"failure_that_ran", 503, {}, false, false, true, false}),
     [](const auto &Info) { return Info.param.Name; });
 
 TEST(platform_dialect, reads_the_load_with_and_without_the_slowdown) {
