A target's answer can end new work from the host that reads it

The product knows two facts, leaving and wants nothing until, which the adapter decodes; they are checked when a target is chosen and before the first byte. Open: an entry host does not tell the leader that a target leaves; its keys move once the target's own report of leaving, or its silence, reaches the leader.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -98,6 +98,14 @@
     Threads.back()->useSpans(Spans);
     CallerAddress = Threads.front()->address();
   }
+  for (const auto &Thread : Threads)
+    Thread->useNotices(
+        [this, Own = Thread.get()](const routing_target_ptr &Target,
+                                   const target_notice &Notice) {
+          for (const auto &Other : Threads)
+            if (Other.get() != Own)
+              Other->adoptNotice(Target, Notice);
+        });
   if (!Settings.AnnounceAddress.empty())
     AnnounceServer = std::make_unique<simple_server>(
         Io, parseEndpoint(Settings.AnnounceAddress),
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -65,6 +65,13 @@
   boost::asio::post(Io, [this] { RoutingLease.forget(); });
 }
 
+void traffic_thread::adoptNotice(routing_target_ptr Target,
+                                 const target_notice &Notice) {
+  boost::asio::post(Io, [this, Target = std::move(Target), Notice] {
+    Context.Sending.Statistics.recordNotice(*Target, Notice);
+  });
+}
+
 void traffic_thread::announceEnd(std::chrono::steady_clock::time_point EndsAt) {
   boost::asio::post(Io, [this, EndsAt] { Context.EndsAt = EndsAt; });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -48,6 +48,15 @@
   //! open routes without a new lease.
   void endIsolation();
 
+  //! Sets what is called, on this thread, when a target has said something new
+  //! about further requests. Call before start().
+  void useNotices(
+      std::function<void(routing_target_ptr, const target_notice &)> OnNotice) {
+    Context.OnNotice = std::move(OnNotice);
+  }
+  //! Any thread: makes this thread obey what another one has heard.
+  void adoptNotice(routing_target_ptr Target, const target_notice &Notice);
+
   //! Any thread: tells when the process ends. Requests that would hardly be
   //! finished by then are refused.
   void announceEnd(std::chrono::steady_clock::time_point EndsAt);
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -407,6 +407,7 @@
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
   co_await Dispatch.readResponseHeader(Plan.Deadline);
+  recordNotice(Owner, Dispatch);
   if (const auto &Load = Dispatch.metadata().Load)
     Context.Sending.Statistics.recordLoad(*Owner.Target, *Load,
                                           steady_clock::now());
@@ -427,9 +428,29 @@
   });
 }
 
+void exchange::recordNotice(const slot_owner &Owner,
+                            const target_dispatch &Dispatch) {
+  const bool News =
+      Context.Sending.Statistics.recordNotice(*Owner.Target, Dispatch.notice());
+  if (!News)
+    return;
+  requestLog().event(
+      log_level::Info, "target_notice",
+      {{"request", RequestId},
+       {"target", Owner.Target->Member.TargetId},
+       {"leaving", Dispatch.notice().Leaving},
+       {"wants_nothing_ms",
+        std::max<std::int64_t>(
+            0, millisecondsOf(Dispatch.notice().WantsNothingUntil -
+                              steady_clock::now()))}});
+  if (Context.OnNotice)
+    Context.OnNotice(Owner.Target, Dispatch.notice());
+}
+
 void exchange::recordAttempt(const slot_owner &Owner,
                              const target_dispatch &Dispatch,
                              steady_clock::time_point SentAt) {
+  recordNotice(Owner, Dispatch);
   LastProgress = Dispatch.progress();
   LastFailure = Dispatch.failureCause();
   History.recordOutcome(LastProgress != attempt_progress::NothingSent,
@@ -531,6 +552,9 @@
   if (!mayStillSend(*Context.View, Plan.Service, Owner))
     throw pomelo_error(error_kind::UpstreamFailed,
                        "the target no longer owns the key or accepts requests");
+  if (!Context.Sending.Statistics.wantsRequests(*Owner.Target, Now))
+    throw pomelo_error(error_kind::UpstreamFailed,
+                       "the target has said that it wants no requests now");
   // A restarted process at the same address may accept requests before its new
   // incarnation is announced. A connection lost by it must not be attributed to
   // the previous incarnation.
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -70,6 +70,7 @@
   request_header dispatchHeader(const slot_owner &Owner);
   boost::asio::awaitable<void> relayResponse(pooled_connection &Connection,
                                              target_dispatch &Dispatch);
+  void recordNotice(const slot_owner &Owner, const target_dispatch &Dispatch);
   void recordAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
                      std::chrono::steady_clock::time_point SentAt);
   boost::asio::awaitable<void> handleConnectionLoss(routing_target_ptr Target);
--- a/src/pomeloswitch/http/target_dialect.hpp
+++ b/src/pomeloswitch/http/target_dialect.hpp
@@ -29,6 +29,9 @@
   //! False if a required signature is missing or invalid.
   bool Authentic = true;
   std::optional<reported_load> Load;
+  bool TargetLeaving = false; //!< The target wants no more requests.
+  //! How long the target wants no requests of this host; 0 if it does not say.
+  std::chrono::milliseconds WantsNothingFor{0};
 };
 
 //! Strategy for the headers of one target protocol.
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <span>
 #include <vector>
 
@@ -125,6 +127,7 @@
     for (bool Final = false; !Final;)
       Final = co_await readHeader();
     Metadata = Dialect.parseMetadata(Response->get(), RequestId);
+    readNotice();
     MatchesRequest = !Metadata.OtherRequest;
     if (!MatchesRequest) {
       Connection.Reused = true;
@@ -179,6 +182,14 @@
   }
 }
 
+void target_dispatch::readNotice() {
+  Notice.Leaving |= Metadata.TargetLeaving;
+  if (Metadata.WantsNothingFor.count() > 0)
+    Notice.WantsNothingUntil =
+        std::max(Notice.WantsNothingUntil,
+                 std::chrono::steady_clock::now() + Metadata.WantsNothingFor);
+}
+
 void target_dispatch::checkResponse() {
   if (Connection.Reused && !Metadata.NamesRequest)
     rejectResponse("the target's response names no request and may be an "
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -69,6 +69,8 @@
   [[nodiscard]] attempt_failure failureCause() const { return FailureCause; }
   //! Metadata of the response header; default values until it has arrived.
   [[nodiscard]] const response_metadata &metadata() const { return Metadata; }
+  //! What the target has said about further requests, in any response so far.
+  [[nodiscard]] const target_notice &notice() const { return Notice; }
   //! Whether the target responded with a 5xx status.
   [[nodiscard]] bool answeredServerError() const;
 
@@ -80,6 +82,7 @@
   [[noreturn]] void failRead(boost::system::error_code Error);
   boost::asio::awaitable<void> discardResponse();
   void checkResponse();
+  void readNotice();
   [[noreturn]] void rejectResponse(const std::string &Reason);
   [[noreturn]] void fail(attempt_failure Cause, const std::string &Reason);
 
@@ -88,6 +91,7 @@
   const target_dialect &Dialect;
   std::string_view RequestId;
   response_metadata Metadata;
+  target_notice Notice;
   std::optional<response_stream_parser> Response;
   //! What may still be read of headers, including those of interim responses
   //! and of responses to other requests.
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -19,6 +19,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -81,6 +82,9 @@
   crash_detector ConnectionLosses;
   request_state_client *Records = nullptr; //!< Set before the first request.
   bool Stopping = false; //!< No connection is kept for a further request.
+  //! Called when a target has said something new about further requests, for
+  //! the other threads of the host; may be empty.
+  std::function<void(routing_target_ptr, const target_notice &)> OnNotice;
   //! When the process ends, once its stop has begun.
   std::optional<std::chrono::steady_clock::time_point> EndsAt;
 };
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -162,13 +162,14 @@
 void target_selection::refuseIfWaitTooLong(const routing_target &Target,
                                            time_point Now) const {
   const std::size_t Ahead = Position->requestsAhead();
-  const auto Expected = State.Statistics.expectedWait(Target, Ahead);
+  const auto Expected = State.Statistics.expectedWait(Target, Ahead, Now);
   if (Now + Expected <= WaitDeadline)
     return;
   const auto HalfWait = std::chrono::duration_cast<milliseconds>(Expected / 2);
   throw pomelo_error(
       error_kind::Overloaded,
-      fmt::format("{} requests are already waiting for the owner of the key",
+      fmt::format("{} requests are already waiting for the owner of the key, "
+                  "which will not take this one in time",
                   Ahead),
       std::clamp(HalfWait, MinRetryAfter, MaxRetryAfter));
 }
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -130,6 +130,54 @@
   EXPECT_FALSE(platform_dialect().parseMetadata(Header, "").Load);
 }
 
+struct notice_case {
+  std::string Name;
+  unsigned Status = 503;
+  std::vector<std::pair<std::string, std::string>> Fields;
+  bool Leaving = false;
+  std::chrono::milliseconds WantsNothingFor{0};
+};
+
+void PrintTo(const notice_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class platform_notice : public testing::TestWithParam<notice_case> {};
+
+TEST_P(platform_notice, is_read_from_the_answer) {
+  response_header Header;
+  Header.result(GetParam().Status);
+  for (const auto &[Name, Value] : GetParam().Fields)
+    Header.set(Name, Value);
+  const response_metadata Facts =
+      platform_dialect().parseMetadata(Header, "id-1");
+  EXPECT_EQ(Facts.TargetLeaving, GetParam().Leaving);
+  EXPECT_EQ(Facts.WantsNothingFor, GetParam().WantsNothingFor);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, platform_notice,
+    testing::Values(
+        notice_case{"leaving", 200, {{"Server-Leaving", "1"}}, true},
+        notice_case{"staying", 200, {{"Server-Leaving", "0"}}},
+        notice_case{"pause",
+                    503,
+                    {{"Retry-After", "2"}},
+                    false,
+                    std::chrono::milliseconds(2000)},
+        notice_case{"pause_with_a_fraction",
+                    503,
+                    {{"Retry-After", "0.25"}},
+                    false,
+                    std::chrono::milliseconds(250)},
+        notice_case{"endless_pause",
+                    503,
+                    {{"Retry-After", "1e300"}},
+                    false,
+                    std::chrono::minutes(10)},
+        notice_case{"negative_pause", 503, {{"Retry-After", "-1"}}},
+        notice_case{"pause_that_is_no_number", 503, {{"Retry-After", "nan"}}},
+        notice_case{"pause_of_another_status", 429, {{"Retry-After", "2"}}}),
+    [](const auto &Info) { return Info.param.Name; });
+
 struct refusal_case {
   error_kind Kind;
   unsigned Status;
