A deposed leader tells no operator that a change is in force

Symptom: configuration.keeps_a_drain_pending_while_a_lost_host_may_serve failed once in 88 runs, sanitized: the change was called in force 1 s after the host was paused. Not reproduced as such. Cause, the suspected one: awaitInForce looked once whether its host leads. Entry hosts report to the next leader; to the deposed one they fall silent, and it took their leases for expired. Class: a decision outlives the state it was made by. Evidence: in_force_query/deposed failed before ("accepted" for a host that never applied the change). Change: each look asks whether the host still leads; only a confirmed leader says that a change is in force.

--- a/src/pomeloswitch/control/admin_api.cpp
+++ b/src/pomeloswitch/control/admin_api.cpp
@@ -76,9 +76,10 @@
              : isolated_routing::OpenRoutes;
 }
 
-json::object describeInForce(const std::vector<std::string> &Behind,
+json::object describeInForce(bool InForce,
+                             const std::vector<std::string> &Behind,
                              std::uint64_t Index, isolated_routing Isolated) {
-  return {{"state", Behind.empty() ? "accepted" : "pending"},
+  return {{"state", InForce ? "accepted" : "pending"},
           {"waiting_for", json::array(Behind.begin(), Behind.end())},
           {"check", fmt::format("/v1/in-force?index={}&isolation={}", Index,
                                 static_cast<int>(Isolated))}};
@@ -242,11 +243,16 @@
   const auto Deadline = steady_clock::now() + Timeout;
   asio::steady_timer Timer(Io);
   for (;;) {
+    // Entry hosts are silent to a leader that was deposed.
+    if (!Backend.log().leading())
+      throw pomelo_error(error_kind::NoQuorum,
+                         "this host has ceased to lead; ask the leader");
     const auto Now = steady_clock::now();
     const auto Behind =
         hostsBehind(Backend.state(), Backend.leases(), Index, Isolated, Now);
-    if (Behind.empty() || Now >= Deadline)
-      co_return describeInForce(Behind, Index, Isolated);
+    const bool InForce = Behind.empty() && Backend.log().leadershipConfirmed();
+    if (InForce || Now >= Deadline)
+      co_return describeInForce(InForce, Behind, Index, Isolated);
     Timer.expires_after(InForcePollInterval);
     co_await Timer.async_wait(asio::use_awaitable);
   }
