--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -5,19 +5,13 @@
 #include "pomeloswitch/http/crash_check.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/response_relay.hpp"
-#include "pomeloswitch/observe/log.hpp"
-#include "pomeloswitch/routing/authentication.hpp"
-#include "pomeloswitch/state/key_slot.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json.hpp>
-#include <fmt/format.h>
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -31,81 +25,15 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr auto LeasePollInterval = milliseconds(10);
 //! How long the rest of a request is read and discarded after its response.
 //! Closing immediately would reset the connection, and the caller could lose
 //! the response.
 constexpr auto LingerTime = std::chrono::seconds(1);
-//! Left at the end of the process for passing on the last responses.
-constexpr auto StopMargin = milliseconds(200);
-//! Time that a request needs on a route without a latency objective.
-constexpr auto DefaultNeed = milliseconds(1000);
-//! A new leader renews leases within this time.
-constexpr auto MaxLeaseWait = milliseconds(500);
 
 auto redirect(error_code &Error) {
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
-const component_logger &requestLog() {
-  static const component_logger Log("entry.request");
-  return Log;
-}
-
-//! One in this many routine requests is logged.
-constexpr std::uint64_t LogSampleInterval = 16;
-
-bool sampled(std::string_view RequestId) {
-  return stableHash(RequestId) % LogSampleInterval == 0;
-}
-
-std::int64_t millisecondsOf(steady_clock::duration Duration) {
-  return std::chrono::duration_cast<milliseconds>(Duration).count();
-}
-
-std::string_view nameOf(send_outcome End) {
-  switch (End) {
-  case send_outcome::Answered:
-    return "answered";
-  case send_outcome::Shed:
-    return "shed";
-  case send_outcome::Failed:
-    return "failed";
-  case send_outcome::Lost:
-    return "connection_lost";
-  case send_outcome::Silent:
-    return "silent";
-  case send_outcome::Inconclusive:
-    break;
-  }
-  return "undecided";
-}
-
-//! Classifies the outcome of an attempt for the statistics of its target.
-send_outcome sendEndOf(const target_dispatch &Dispatch,
-                       bool CallerDisconnected) {
-  if (CallerDisconnected)
-    return send_outcome::Inconclusive;
-  if (Dispatch.metadata().WrongTarget)
-    return send_outcome::Inconclusive;
-  if (Dispatch.metadata().NotRun)
-    return send_outcome::Shed;
-  switch (Dispatch.failureCause()) {
-  case attempt_failure::ConnectionLost:
-    return send_outcome::Lost;
-  case attempt_failure::TimedOut:
-    return send_outcome::Silent;
-  case attempt_failure::ProtocolError:
-    return send_outcome::Failed;
-  case attempt_failure::None:
-    break;
-  }
-  if (Dispatch.progress() != attempt_progress::Answered)
-    return send_outcome::Inconclusive;
-  return Dispatch.answeredServerError() ? send_outcome::Failed
-                                        : send_outcome::Answered;
-}
-
 [[noreturn]] void throwConnectionAborted() {
   throw boost::system::system_error(
       make_error_code(boost::system::errc::connection_aborted));
@@ -143,43 +71,6 @@
   co_return CallerKeepAlive;
 }
 
-//! Logs the outcome of the request and the state that it was based on. Routine
-//! requests are sampled by the caller's request id, so that every host selects
-//! the same ones.
-void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
-  const bool Routine = !Refusal && !CallerDisconnected &&
-                       History.sendCount() <= 1 &&
-                       Plan.ConfigNumber == View->ConfigNumber;
-  if (Routine && !sampled(RequestId))
-    return;
-  const auto Now = steady_clock::now();
-  boost::json::object Fields{
-      {"request", RequestId},
-      {"route", Plan.Route.Name},
-      {"service", Plan.Service},
-      {"account", Plan.Account},
-      {"planned_config", Plan.ConfigNumber},
-      {"planned_index", Plan.Index},
-      {"config", View->ConfigNumber},
-      {"index", View->Index},
-      {"lease_left_ms", millisecondsOf(Context.RoutingLease.remaining())},
-      {"took_ms", millisecondsOf(Now - StartedAt)},
-      {"attempts", AttemptLog}};
-  if (AdmittedAt)
-    Fields["admitted_ms"] = millisecondsOf(*AdmittedAt - StartedAt);
-  if (Slot)
-    Fields["slot"] = *Slot;
-  if (CallerDisconnected)
-    Fields["caller"] = "gone";
-  if (Refusal) {
-    Fields["error"] = answerFor(Refusal->kind()).Name;
-    Fields["reason"] = Refusal->what();
-    Fields["retry_after_ms"] = Refusal->retryAfter().count();
-  }
-  requestLog().event(Refusal ? log_level::Warn : log_level::Info,
-                     Refusal ? "request_failed" : "request_served", Fields);
-}
-
 asio::awaitable<void> exchange::serve() {
   RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = planRequest();
@@ -204,69 +95,6 @@
     Answered = co_await attempt();
 }
 
-//! A host that has lost contact may not know a route or a key that was added
-//! meanwhile, and such a refusal would be final.
-request_plan exchange::planRequest() const {
-  try {
-    return makeRequestPlan(Request, Context, Plan.Service);
-  } catch (const pomelo_error &Refusal) {
-    const bool ByState = Refusal.kind() == error_kind::NoRoute ||
-                         Refusal.kind() == error_kind::Unauthenticated;
-    if (!ByState || Context.RoutingLease.valid())
-      throw;
-  }
-  throw pomelo_error(error_kind::NotAuthoritative, LostContact);
-}
-
-//! Whether the route is served for some time after the host has lost contact,
-//! by the state that its last lease vouched for.
-bool exchange::mayPlanWithoutLease() const {
-  const auto Isolation = milliseconds(Context.View->Rules->OpenIsolationMs);
-  return Plan.Route.Access == route_access::Open && !Plan.Key &&
-         Context.RoutingLease.everGranted() &&
-         Context.RoutingLease.remaining() + Isolation > milliseconds(0);
-}
-
-//! Plans by the latest state: the one that the request met may be much older.
-void exchange::planAgain() {
-  request_plan Changed = planRequest();
-  if (Changed.Account != Plan.Account && AdmittedAt)
-    throw pomelo_error(error_kind::NotAuthoritative,
-                       "the account of the key changed while the request "
-                       "waited");
-  Changed.Deadline = Plan.Deadline;
-  Changed.DeadlineUnixMs = Plan.DeadlineUnixMs;
-  Plan = std::move(Changed);
-  View = Context.View;
-  Telemetry.routed(Plan.Route.Name, Plan.Service, Plan.Account);
-}
-
-//! While the host stops, no request may last longer than its process. One that
-//! would hardly be finished by then is refused; another host can take it.
-void exchange::boundByStop() {
-  if (!Context.EndsAt || Plan.Deadline <= *Context.EndsAt - StopMargin)
-    return;
-  const auto Left = *Context.EndsAt - StopMargin - steady_clock::now();
-  const auto Need = Plan.Route.LatencyGoalMs > 0
-                        ? milliseconds(Plan.Route.LatencyGoalMs)
-                        : DefaultNeed;
-  if (Left < Need)
-    throw pomelo_error(error_kind::Draining, "this entry host is stopping");
-  const auto Cut = Plan.Deadline - (*Context.EndsAt - StopMargin);
-  Plan.Deadline -= Cut;
-  Plan.DeadlineUnixMs -= millisecondsOf(Cut);
-}
-
-//! Plans the request again if the configuration has changed since. Returns
-//! whether it has.
-bool exchange::followConfiguration() {
-  View = Context.View;
-  if (Plan.madeBy(*View))
-    return false;
-  planAgain();
-  return true;
-}
-
 asio::awaitable<void> exchange::continueIfExpected() {
   if (!http::token_list{Request.get()[http::field::expect]}.exists(
           "100-continue"))
@@ -428,64 +256,6 @@
   });
 }
 
-void exchange::recordNotice(const slot_owner &Owner,
-                            const target_dispatch &Dispatch) {
-  const bool News =
-      Context.Sending.Statistics.recordNotice(*Owner.Target, Dispatch.notice());
-  if (!News)
-    return;
-  requestLog().event(
-      log_level::Info, "target_notice",
-      {{"request", RequestId},
-       {"target", Owner.Target->Member.TargetId},
-       {"leaving", Dispatch.notice().Leaving},
-       {"wants_nothing_ms",
-        std::max<std::int64_t>(
-            0, millisecondsOf(Dispatch.notice().WantsNothingUntil -
-                              steady_clock::now()))}});
-  if (Context.OnNotice)
-    Context.OnNotice(Owner.Target, Dispatch.notice());
-}
-
-void exchange::recordAttempt(const slot_owner &Owner,
-                             const target_dispatch &Dispatch,
-                             steady_clock::time_point SentAt) {
-  recordNotice(Owner, Dispatch);
-  LastProgress = Dispatch.progress();
-  LastFailure = Dispatch.failureCause();
-  History.recordOutcome(LastProgress != attempt_progress::NothingSent,
-                        LastFailure == attempt_failure::ConnectionLost &&
-                            !CallerDisconnected);
-  const auto Now = steady_clock::now();
-  const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
-  Context.Sending.Statistics.recordOutcome(*Owner.Target, End, Now - SentAt,
-                                           Now);
-  boost::json::object Entry{{"target", Owner.Target->Member.TargetId},
-                            {"sent_ms", millisecondsOf(SentAt - StartedAt)},
-                            {"took_ms", millisecondsOf(Now - SentAt)},
-                            {"end", nameOf(End)}};
-  if (Plan.Key) {
-    Entry["slot"] = Owner.Slot;
-    Entry["token"] = Owner.Token;
-  }
-  AttemptLog.push_back(std::move(Entry));
-}
-
-//! Waits for a valid lease, to bridge a change of leader. Account quotas are
-//! leased too: without this check, a host that is cut off from the control
-//! group would reject requests as above the account's rate.
-asio::awaitable<void> exchange::awaitLease() {
-  asio::steady_timer Timer(Context.Io);
-  const auto GiveUp =
-      std::min(Plan.Deadline, steady_clock::now() + MaxLeaseWait);
-  while (!Context.RoutingLease.valid()) {
-    if (steady_clock::now() >= GiveUp)
-      throw pomelo_error(error_kind::NotAuthoritative, LostContact);
-    Timer.expires_after(LeasePollInterval);
-    co_await Timer.async_wait(asio::use_awaitable);
-  }
-}
-
 void exchange::checkCallerConnected() const {
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
--- /dev/null
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -0,0 +1,161 @@
+//! What is logged of a request, and what its attempts tell of targets.
+#include "pomeloswitch/http/exchange.hpp"
+
+#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/state/key_slot.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+const component_logger &requestLog() {
+  static const component_logger Log("entry.request");
+  return Log;
+}
+
+//! One in this many routine requests is logged.
+constexpr std::uint64_t LogSampleInterval = 16;
+
+bool sampled(std::string_view RequestId) {
+  return stableHash(RequestId) % LogSampleInterval == 0;
+}
+
+std::int64_t millisecondsOf(steady_clock::duration Duration) {
+  return std::chrono::duration_cast<milliseconds>(Duration).count();
+}
+
+std::string_view nameOf(send_outcome End) {
+  switch (End) {
+  case send_outcome::Answered:
+    return "answered";
+  case send_outcome::Shed:
+    return "shed";
+  case send_outcome::Failed:
+    return "failed";
+  case send_outcome::Lost:
+    return "connection_lost";
+  case send_outcome::Silent:
+    return "silent";
+  case send_outcome::Inconclusive:
+    break;
+  }
+  return "undecided";
+}
+
+//! Classifies the outcome of an attempt for the statistics of its target.
+send_outcome sendEndOf(const target_dispatch &Dispatch,
+                       bool CallerDisconnected) {
+  if (CallerDisconnected)
+    return send_outcome::Inconclusive;
+  if (Dispatch.metadata().WrongTarget)
+    return send_outcome::Inconclusive;
+  if (Dispatch.metadata().NotRun)
+    return send_outcome::Shed;
+  switch (Dispatch.failureCause()) {
+  case attempt_failure::ConnectionLost:
+    return send_outcome::Lost;
+  case attempt_failure::TimedOut:
+    return send_outcome::Silent;
+  case attempt_failure::ProtocolError:
+    return send_outcome::Failed;
+  case attempt_failure::None:
+    break;
+  }
+  if (Dispatch.progress() != attempt_progress::Answered)
+    return send_outcome::Inconclusive;
+  return Dispatch.answeredServerError() ? send_outcome::Failed
+                                        : send_outcome::Answered;
+}
+
+} // namespace
+
+//! Logs the outcome of the request and the state that it was based on. Routine
+//! requests are sampled by the caller's request id, so that every host selects
+//! the same ones.
+void exchange::logOutcome(const std::optional<pomelo_error> &Refusal) const {
+  const bool Routine = !Refusal && !CallerDisconnected &&
+                       History.sendCount() <= 1 &&
+                       Plan.ConfigNumber == View->ConfigNumber;
+  if (Routine && !sampled(RequestId))
+    return;
+  const auto Now = steady_clock::now();
+  boost::json::object Fields{
+      {"request", RequestId},
+      {"route", Plan.Route.Name},
+      {"service", Plan.Service},
+      {"account", Plan.Account},
+      {"planned_config", Plan.ConfigNumber},
+      {"planned_index", Plan.Index},
+      {"config", View->ConfigNumber},
+      {"index", View->Index},
+      {"lease_left_ms", millisecondsOf(Context.RoutingLease.remaining())},
+      {"took_ms", millisecondsOf(Now - StartedAt)},
+      {"attempts", AttemptLog}};
+  if (AdmittedAt)
+    Fields["admitted_ms"] = millisecondsOf(*AdmittedAt - StartedAt);
+  if (Slot)
+    Fields["slot"] = *Slot;
+  if (CallerDisconnected)
+    Fields["caller"] = "gone";
+  if (Refusal) {
+    Fields["error"] = answerFor(Refusal->kind()).Name;
+    Fields["reason"] = Refusal->what();
+    Fields["retry_after_ms"] = Refusal->retryAfter().count();
+  }
+  requestLog().event(Refusal ? log_level::Warn : log_level::Info,
+                     Refusal ? "request_failed" : "request_served", Fields);
+}
+
+void exchange::recordNotice(const slot_owner &Owner,
+                            const target_dispatch &Dispatch) {
+  const bool News =
+      Context.Sending.Statistics.recordNotice(*Owner.Target, Dispatch.notice());
+  if (!News)
+    return;
+  requestLog().event(
+      log_level::Info, "target_notice",
+      {{"request", RequestId},
+       {"target", Owner.Target->Member.TargetId},
+       {"leaving", Dispatch.notice().Leaving},
+       {"wants_nothing_ms",
+        std::max<std::int64_t>(
+            0, millisecondsOf(Dispatch.notice().WantsNothingUntil -
+                              steady_clock::now()))}});
+  if (Context.OnNotice)
+    Context.OnNotice(Owner.Target, Dispatch.notice());
+}
+
+void exchange::recordAttempt(const slot_owner &Owner,
+                             const target_dispatch &Dispatch,
+                             steady_clock::time_point SentAt) {
+  recordNotice(Owner, Dispatch);
+  LastProgress = Dispatch.progress();
+  LastFailure = Dispatch.failureCause();
+  History.recordOutcome(LastProgress != attempt_progress::NothingSent,
+                        LastFailure == attempt_failure::ConnectionLost &&
+                            !CallerDisconnected);
+  const auto Now = steady_clock::now();
+  const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
+  Context.Sending.Statistics.recordOutcome(*Owner.Target, End, Now - SentAt,
+                                           Now);
+  boost::json::object Entry{{"target", Owner.Target->Member.TargetId},
+                            {"sent_ms", millisecondsOf(SentAt - StartedAt)},
+                            {"took_ms", millisecondsOf(Now - SentAt)},
+                            {"end", nameOf(End)}};
+  if (Plan.Key) {
+    Entry["slot"] = Owner.Slot;
+    Entry["token"] = Owner.Token;
+  }
+  AttemptLog.push_back(std::move(Entry));
+}
+
+} // namespace pomelo
