--- a/tests/control/admin_api_test.cpp
+++ b/tests/control/admin_api_test.cpp
@@ -1,6 +1,6 @@
 #include "pomeloswitch/control/admin_api.hpp"
 
-#include "pomeloswitch/raft/replicated_log.hpp"
+#include "control/idle_log.hpp"
 #include "pomeloswitch/settings/control_settings.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
 #include "state/state_fixture.hpp"
@@ -20,43 +20,13 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-//! A log that commits nothing and leads until it is told otherwise.
-class deposable_log final : public replicated_log {
-public:
-  void start(applier) override {}
-  void stop() override {}
-  void propose(std::string, completion Done) override {
-    Done({error_kind::NotLeader, 0});
-  }
-  [[nodiscard]] bool leading() const override { return Leads; }
-  [[nodiscard]] bool leadershipConfirmed() const override { return Leads; }
-  [[nodiscard]] std::string leaderId() const override { return {}; }
-  [[nodiscard]] std::uint64_t commitIndex() const override { return 0; }
-  [[nodiscard]] bool leaderReachable() const override { return false; }
-  bool sendToLeader(const wire::envelope &) override { return false; }
-  [[nodiscard]] std::optional<std::vector<committed_entry>>
-  entriesFrom(std::uint64_t, std::size_t) const override {
-    return std::nullopt;
-  }
-  void deliver(const std::shared_ptr<peer_link> &,
-               const wire::raft_message &) override {}
-  [[nodiscard]] std::vector<control_member> members() const override {
-    return {};
-  }
-  std::uint64_t addMember(const host_address &, const std::string &) override {
-    return 0;
-  }
-  std::uint64_t removeMember(const std::string &) override { return 0; }
-
-  bool Leads = true;
-};
-
 constexpr milliseconds HostLease{300};
 
 class fake_backend final : public admin_backend {
 public:
   fake_backend() : Leases(times()) {
     Settings.Operators = {{"operator", sha256Hex("credential")}};
+    Log.Leads = true;
     Cluster.joinHost("e1", 1);
     Leases.startTerm(Cluster.State, steady_clock::now());
   }
@@ -78,7 +48,7 @@
 
   test_cluster Cluster;
   lease_table Leases;
-  deposable_log Log;
+  idle_log Log;
   control_settings Settings;
 };
 
--- a/tests/control/forwarded_reports_test.cpp
+++ b/tests/control/forwarded_reports_test.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/control/control_host.hpp"
 
+#include "control/idle_log.hpp"
 #include "pomeloswitch/raft/local_log.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 #include "state/state_fixture.hpp"
@@ -16,45 +17,10 @@
 
 constexpr const char *Secret = "secret of this test only";
 
-//! The log of a follower whose leader is the test.
-class follower_log final : public replicated_log {
-public:
-  void start(applier) override {}
-  void stop() override {}
-  void propose(std::string, completion Done) override {
-    Done({error_kind::NotLeader, 0});
-  }
-  [[nodiscard]] bool leading() const override { return false; }
-  [[nodiscard]] bool leadershipConfirmed() const override { return false; }
-  [[nodiscard]] std::string leaderId() const override { return "leader"; }
-  [[nodiscard]] bool leaderReachable() const override { return Reachable; }
-  bool sendToLeader(const wire::envelope &Message) override {
-    Sent.push_back(Message);
-    return Reachable;
-  }
-  [[nodiscard]] std::uint64_t commitIndex() const override { return 0; }
-  [[nodiscard]] std::optional<std::vector<committed_entry>>
-  entriesFrom(std::uint64_t, std::size_t) const override {
-    return std::vector<committed_entry>();
-  }
-  void deliver(const std::shared_ptr<peer_link> &,
-               const wire::raft_message &) override {}
-  [[nodiscard]] std::vector<control_member> members() const override {
-    return {};
-  }
-  std::uint64_t addMember(const host_address &, const std::string &) override {
-    return 0;
-  }
-  std::uint64_t removeMember(const std::string &) override { return 0; }
-
-  bool Reachable = true;
-  std::vector<wire::envelope> Sent;
-};
-
 class forwarded_reports : public testing::Test {
 protected:
   forwarded_reports() {
-    auto Log = std::make_unique<follower_log>();
+    auto Log = std::make_unique<idle_log>();
     FollowerLog = Log.get();
     Follower = makeHost(std::move(Log));
     Target = testTarget("t1", 7, true, 4001);
@@ -91,7 +57,7 @@
   }
 
   boost::asio::io_context Io;
-  follower_log *FollowerLog = nullptr;
+  idle_log *FollowerLog = nullptr;
   std::unique_ptr<control_host> Follower;
   target_member Target;
 };
