--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -61,8 +61,8 @@
   void compact(std::uint64_t Index, std::string State, std::uint64_t DropUpTo);
 
   // ---- Membership changes. They return nullopt, or the reason for refusal.
-  //! Adds a voter, or names the member that a learner is to replace. Does
-  //! nothing if \p Member is a voter already.
+  //! Adds a host that is to become a voter, or lets a learner become one, in
+  //! place of the member that \p Member names, if any.
   std::optional<std::string> addLearner(const wire::raft_member &Member);
   //! The removed replica is not taken in again.
   std::optional<std::string> removeMember(const std::string &HostId);
