--- a/tests/http/stray_response_test.cpp
+++ b/tests/http/stray_response_test.cpp
@@ -37,8 +37,9 @@
     Connection.awaitEnd();
   });
   traffic_fixture Traffic(Target.address(), 1, Dialect);
-  if (Case.OnKeptConnection)
+  if (Case.OnKeptConnection) {
     ASSERT_EQ(Traffic.call("POST", Case.Route, "body").Status, 200);
+  }
   const auto Answer = Traffic.call("POST", Case.Route, "body");
   EXPECT_EQ(Answer.Status, Case.Status) << Answer.Failure;
   const auto State = Answer.Header.find("Pomelo-Run-State");
