--- a/src/pomeloswitch/wire/packing.cpp
+++ b/src/pomeloswitch/wire/packing.cpp
@@ -2,7 +2,6 @@
 
 #include <google/protobuf/io/gzip_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
-#include <google/protobuf/message_lite.h>
 
 namespace pomelo {
 
--- a/src/pomeloswitch/wire/packing.hpp
+++ b/src/pomeloswitch/wire/packing.hpp
@@ -2,11 +2,9 @@
 #ifndef POMELOSWITCH_WIRE_PACKING_HPP
 #define POMELOSWITCH_WIRE_PACKING_HPP
 
-#include <string>
+#include <google/protobuf/message_lite.h>
 
-namespace google::protobuf {
-class MessageLite;
-} // namespace google::protobuf
+#include <string>
 
 namespace pomelo {
 
--- a/tests/control/admin_api_test.cpp
+++ b/tests/control/admin_api_test.cpp
@@ -78,7 +78,7 @@
   std::string State;
   boost::asio::co_spawn(
       Io, Api.handle(Request),
-      [&State](std::exception_ptr Failure, const text_response &Answer) {
+      [&State](const std::exception_ptr &Failure, const text_response &Answer) {
         if (!Failure)
           State = boost::json::parse(Answer.body()).at("state").as_string();
       });
