--- a/tests/raft/replaced_host_test.cpp
+++ b/tests/raft/replaced_host_test.cpp
@@ -46,7 +46,7 @@
 
   //! Starts a host in the failure domain of \p Old that knows some founders.
   std::string startInPlaceOf(const std::string &Old) {
-    const std::string Id = fmt::format("n{}", ++Started);
+    std::string Id = fmt::format("n{}", ++Started);
     std::vector<std::string> Seeds;
     for (const std::string &Known : Group.hostIds())
       if (Group.host(Known).Core)
