--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -146,6 +146,8 @@
 }
 
 void control_session::applySnapshot(const wire::log_batch &Batch) {
+  if (!Batch.has_snapshot() && Batch.packed_snapshot().empty())
+    return;
   wire::state_snapshot Snapshot = Batch.snapshot();
   if (!Batch.packed_snapshot().empty() &&
       !unpackMessage(Batch.packed_snapshot(), Snapshot))
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -272,7 +272,6 @@
 
 //! Returns nothing if the request was planned again.
 asio::awaitable<std::optional<slot_owner>> exchange::awaitPlannedTarget() {
-  followConfiguration();
   asio::steady_timer Timer(Context.Io);
   target_selection TargetWait(Context.Sending, makePendingRequest(),
                               steady_clock::now());
--- a/src/pomeloswitch/raft/raft_membership.cpp
+++ b/src/pomeloswitch/raft/raft_membership.cpp
@@ -153,16 +153,16 @@
 //! Ends a replacement: the replaced voter goes, unless it answers and the new
 //! one does not any more.
 bool raft_core::removeReplacedVoter(raft_time Now) {
-  wire::raft_config Config = Log.config();
-  for (wire::raft_member &Member : *Config.mutable_members()) {
+  for (const wire::raft_member &Member : Log.config().members()) {
     if (!Member.voter() || Member.replaces().empty())
       continue;
-    const std::string Replaced = Member.replaces();
-    const std::string New = Member.host_id();
+    const std::string &Replaced = Member.replaces();
+    const std::string &New = Member.host_id();
     const bool KeepOld = silence(New, Now) >= Options.Times.ElectionMax &&
                          silence(Replaced, Now) < Options.Times.ElectionMax &&
                          findMember(Replaced);
-    Member.clear_replaces();
+    wire::raft_config Config = Log.config();
+    find(Config, New)->clear_replaces();
     erase(Config, KeepOld ? New : Replaced);
     proposeConfig(std::move(Config));
     return true;
@@ -175,29 +175,27 @@
 //! first, so that the group needs no more votes meanwhile; one that answers
 //! leaves after, so that the group never bears less.
 bool raft_core::promoteLearner(raft_time Now) {
-  wire::raft_config Config = Log.config();
-  const bool PlaceFree =
-      Config.voters_wanted() == 0 || voterCount() < Config.voters_wanted();
-  for (wire::raft_member &Member : *Config.mutable_members()) {
+  const std::uint32_t Wanted = Log.config().voters_wanted();
+  const bool PlaceFree = Wanted == 0 || voterCount() < Wanted;
+  for (const wire::raft_member &Member : Log.config().members()) {
     if (Member.voter() || !isReady(Member, Now))
       continue;
-    if (!findMember(Member.replaces()))
-      Member.clear_replaces();
-    if (!PlaceFree && Member.replaces().empty())
-      Member.set_replaces(lostVoterFor(Member, Now).value_or(""));
-    const std::string Replaced = Member.replaces();
+    std::string Replaced =
+        findMember(Member.replaces()) ? Member.replaces() : std::string();
+    if (!PlaceFree && Replaced.empty())
+      Replaced = lostVoterFor(Member, Now).value_or("");
     if (!PlaceFree && Replaced.empty())
       continue;
     const bool FreesPlace = !PlaceFree && isVoter(Replaced) &&
                             silence(Replaced, Now) >= Options.Times.ElectionMax;
-    if (FreesPlace) {
-      Member.clear_replaces();
-      erase(Config, Replaced);
-    } else if (majorityWithOneMore(Now)) {
-      Member.set_voter(true);
-    } else {
+    if (!FreesPlace && !majorityWithOneMore(Now))
       return false;
-    }
+    wire::raft_config Config = Log.config();
+    wire::raft_member &Learner = *find(Config, Member.host_id());
+    Learner.set_replaces(FreesPlace ? std::string() : Replaced);
+    Learner.set_voter(!FreesPlace);
+    if (FreesPlace)
+      erase(Config, Replaced);
     proposeConfig(std::move(Config));
     return true;
   }
@@ -252,14 +250,15 @@
 //! Drops a learner that is not needed and does not answer, such as a replaced
 //! host that is gone. One that comes back asks to be taken in.
 bool raft_core::removeSilentLearner(raft_time Now) {
-  wire::raft_config Config = Log.config();
-  if (Config.voters_wanted() == 0 || voterCount() < Config.voters_wanted())
+  const std::uint32_t Wanted = Log.config().voters_wanted();
+  if (Wanted == 0 || voterCount() < Wanted)
     return false;
-  for (const wire::raft_member &Member : Config.members()) {
+  for (const wire::raft_member &Member : Log.config().members()) {
     if (Member.voter() ||
         silence(Member.host_id(), Now) < Options.Times.ReplaceAcrossDomains)
       continue;
-    erase(Config, std::string(Member.host_id()));
+    wire::raft_config Config = Log.config();
+    erase(Config, Member.host_id());
     proposeConfig(std::move(Config));
     return true;
   }
--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -185,14 +185,18 @@
 bool target_statistics::wantsRequests(const routing_target &Target,
                                       time_point Now) const {
   const record *Record = find(Target);
-  return !Record ||
-         (!Record->Notice.Leaving && Now >= Record->Notice.WantsNothingUntil);
+  return !Record || wantsRequests(*Record, Now);
+}
+
+bool target_statistics::wantsRequests(const record &Record, time_point Now) {
+  return !Record.Notice.Leaving && Now >= Record.Notice.WantsNothingUntil;
 }
 
 bool target_statistics::usable(const routing_target &Target,
                                time_point Now) const {
   const record *Record = find(Target);
-  return wantsRequests(Target, Now) && (!Record || Now >= Record->BackoffUntil);
+  return !Record ||
+         (wantsRequests(*Record, Now) && Now >= Record->BackoffUntil);
 }
 
 bool target_statistics::mayBeCold(const routing_target &Target,
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -141,6 +141,7 @@
 
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
+  [[nodiscard]] static bool wantsRequests(const record &Record, time_point Now);
   [[nodiscard]] bool isUnresponsive(const record &Record, time_point Now) const;
   record &recordOf(const routing_target &Target);
   void adjustWindow(record &Record, bool Room) const;
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -50,10 +50,21 @@
   EXPECT_EQ(platform_dialect().timeoutOf(Header), std::nullopt);
 }
 
+using header_fields = std::vector<std::pair<std::string, std::string>>;
+
+//! What is read of an answer to the request "id-1".
+response_metadata factsOf(unsigned Status, const header_fields &Fields) {
+  response_header Header;
+  Header.result(Status);
+  for (const auto &[Name, Value] : Fields)
+    Header.set(Name, Value);
+  return platform_dialect().parseMetadata(Header, "id-1");
+}
+
 struct answer_case {
   std::string Name;
   unsigned Status = 200;
-  std::vector<std::pair<std::string, std::string>> Fields;
+  header_fields Fields;
   bool NotRun = false;
   bool OtherRequest = false;
   bool Authentic = true;
@@ -65,12 +76,7 @@
 class platform_answer : public testing::TestWithParam<answer_case> {};
 
 TEST_P(platform_answer, is_classified_by_status_and_header) {
-  response_header Header;
-  Header.result(GetParam().Status);
-  for (const auto &[Name, Value] : GetParam().Fields)
-    Header.set(Name, Value);
-  const response_metadata Facts =
-      platform_dialect().parseMetadata(Header, "id-1");
+  const response_metadata Facts = factsOf(GetParam().Status, GetParam().Fields);
   EXPECT_EQ(Facts.NotRun, GetParam().NotRun);
   EXPECT_EQ(Facts.OtherRequest, GetParam().OtherRequest);
   EXPECT_EQ(Facts.Authentic, GetParam().Authentic);
@@ -133,7 +139,7 @@
 struct notice_case {
   std::string Name;
   unsigned Status = 503;
-  std::vector<std::pair<std::string, std::string>> Fields;
+  header_fields Fields;
   bool Leaving = false;
   std::chrono::milliseconds WantsNothingFor{0};
 };
@@ -143,12 +149,7 @@
 class platform_notice : public testing::TestWithParam<notice_case> {};
 
 TEST_P(platform_notice, is_read_from_the_answer) {
-  response_header Header;
-  Header.result(GetParam().Status);
-  for (const auto &[Name, Value] : GetParam().Fields)
-    Header.set(Name, Value);
-  const response_metadata Facts =
-      platform_dialect().parseMetadata(Header, "id-1");
+  const response_metadata Facts = factsOf(GetParam().Status, GetParam().Fields);
   EXPECT_EQ(Facts.TargetLeaving, GetParam().Leaving);
   EXPECT_EQ(Facts.WantsNothingFor, GetParam().WantsNothingFor);
 }
--- a/tests/raft/replaced_host_test.cpp
+++ b/tests/raft/replaced_host_test.cpp
@@ -180,7 +180,6 @@
 void startTwoForOne(replaced_host_fixture &Group) {
   const std::string Old = Group.follower();
   Group.startInPlaceOf(Old);
-  const std::string Domain = Group.domainOf(Old);
   Group.startInPlaceOf(Old);
   Group.Group.removeHost(Old);
   EXPECT_TRUE(Group.Group.stepUntil(
