What a target said holds also while it is no member

A target may say in a response that it leaves, or wants nothing for some time. The note stood in the target's statistics, which are dropped as soon as a routing view lacks the target. Control hosts that are cut off from a target for 2 s remove it, and take it back with its next report, as the same process: the entry host then sent it requests again.

--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -50,6 +50,7 @@
     Context.View = View;
     Context.Pool.retain(*View);
     Context.Sending.Statistics.retain(*View);
+    Context.Sending.Notices.retain(*View, std::chrono::steady_clock::now());
     Context.Sending.WaitQueues.removeEmptyQueues();
     reportRestarts();
     updateQuiescedIndex();
@@ -68,7 +69,8 @@
 void traffic_thread::adoptNotice(routing_target_ptr Target,
                                  const target_notice &Notice) {
   boost::asio::post(Io, [this, Target = std::move(Target), Notice] {
-    Context.Sending.Statistics.recordNotice(*Target, Notice);
+    Context.Sending.Notices.record(*Target, Notice,
+                                   std::chrono::steady_clock::now());
   });
 }
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -321,7 +321,7 @@
   if (!mayStillSend(*Context.View, Plan.Service, Owner))
     throw pomelo_error(error_kind::UpstreamFailed,
                        "the target no longer owns the key or accepts requests");
-  if (!Context.Sending.Statistics.wantsRequests(*Owner.Target, Now))
+  if (!Context.Sending.Notices.of(*Owner.Target).wantsRequests(Now))
     throw pomelo_error(error_kind::UpstreamFailed,
                        "the target has said that it wants no requests now");
   // A restarted process at the same address may accept requests before its new
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -117,9 +117,8 @@
 
 void exchange::recordNotice(const slot_owner &Owner,
                             const target_dispatch &Dispatch) {
-  const bool News =
-      Context.Sending.Statistics.recordNotice(*Owner.Target, Dispatch.notice());
-  if (!News)
+  const auto Now = steady_clock::now();
+  if (!Context.Sending.Notices.record(*Owner.Target, Dispatch.notice(), Now))
     return;
   requestLog().event(
       log_level::Info, "target_notice",
@@ -128,8 +127,7 @@
        {"leaving", Dispatch.notice().Leaving},
        {"wants_nothing_ms",
         std::max<std::int64_t>(
-            0, millisecondsOf(Dispatch.notice().WantsNothingUntil -
-                              steady_clock::now()))}});
+            0, millisecondsOf(Dispatch.notice().WantsNothingUntil - Now))}});
   if (Context.OnNotice)
     Context.OnNotice(Owner.Target, Dispatch.notice());
 }
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/http/stream_parsers.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
+#include "pomeloswitch/routing/target_notices.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -170,33 +170,10 @@
   Record.LoadReportedAt = Now;
 }
 
-bool target_statistics::recordNotice(const routing_target &Target,
-                                     const target_notice &Notice) {
-  if (Notice == target_notice())
-    return false;
-  target_notice &Known = recordOf(Target).Notice;
-  const target_notice Before = Known;
-  Known.Leaving |= Notice.Leaving;
-  Known.WantsNothingUntil =
-      std::max(Known.WantsNothingUntil, Notice.WantsNothingUntil);
-  return !(Known == Before);
-}
-
-bool target_statistics::wantsRequests(const routing_target &Target,
-                                      time_point Now) const {
-  const record *Record = find(Target);
-  return !Record || wantsRequests(*Record, Now);
-}
-
-bool target_statistics::wantsRequests(const record &Record, time_point Now) {
-  return !Record.Notice.Leaving && Now >= Record.Notice.WantsNothingUntil;
-}
-
 bool target_statistics::usable(const routing_target &Target,
                                time_point Now) const {
   const record *Record = find(Target);
-  return !Record ||
-         (wantsRequests(*Record, Now) && Now >= Record->BackoffUntil);
+  return !Record || Now >= Record->BackoffUntil;
 }
 
 bool target_statistics::mayBeCold(const routing_target &Target,
@@ -207,17 +184,14 @@
 }
 
 std::chrono::duration<double>
-target_statistics::expectedWait(const routing_target &Target, std::size_t Ahead,
-                                time_point Now) const {
+target_statistics::expectedWait(const routing_target &Target,
+                                std::size_t Ahead) const {
   const record *Record = find(Target);
   if (!Record || Record->Window == 0)
     return {};
   const double Average = std::max(DefaultSeconds, Record->AverageSeconds);
-  const std::chrono::duration<double> Queue(static_cast<double>(Ahead) *
-                                            Average / Record->Window);
-  const std::chrono::duration<double> Quiet =
-      Record->Notice.WantsNothingUntil - Now;
-  return std::max(Queue, Quiet);
+  return std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
+                                       Record->Window);
 }
 
 double target_statistics::score(const routing_target &Target,
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -33,15 +33,6 @@
   Inconclusive, //!< Says nothing about the target.
 };
 
-//! What a target says in its responses about further requests of this host.
-struct target_notice {
-  bool Leaving = false; //!< It wants no more requests.
-  //! It wants no requests until this time; the epoch if it has not said so.
-  std::chrono::steady_clock::time_point WantsNothingUntil{};
-
-  bool operator==(const target_notice &) const = default;
-};
-
 struct target_statistics_limits {
   std::chrono::milliseconds ShedBackoff{60};
   std::chrono::milliseconds LostBackoff{700};
@@ -80,18 +71,11 @@
   void recordLoad(const routing_target &Target, const reported_load &Load,
                   time_point Now);
 
-  //! Records what the target has said; it holds for this incarnation. Returns
-  //! whether that is new.
-  bool recordNotice(const routing_target &Target, const target_notice &Notice);
-
   //! Records that no connection to the target could be made.
   void recordUnreachable(const routing_target &Target, time_point Now);
 
-  //! Whether the target has not said that it wants no requests now.
-  [[nodiscard]] bool wantsRequests(const routing_target &Target,
-                                   time_point Now) const;
-  //! Whether requests may be sent to the target at all: it wants them, and no
-  //! backoff is left, which grows with consecutive failures.
+  //! Whether requests may be sent to the target at all. After a failure the
+  //! target is avoided for a backoff time that grows with consecutive failures.
   [[nodiscard]] bool usable(const routing_target &Target, time_point Now) const;
   //! Whether one more request fits into this host's share of the target's
   //! capacity. The share is a window on the requests in flight; a window below
@@ -102,11 +86,9 @@
   [[nodiscard]] bool mayBeCold(const routing_target &Target,
                                time_point Now) const;
   //! Expected wait for the target when \p Ahead other requests are queued
-  //! before this one, estimated from this host's window and from the time until
-  //! which the target wants none.
+  //! before this one, estimated from this host's window.
   [[nodiscard]] std::chrono::duration<double>
-  expectedWait(const routing_target &Target, std::size_t Ahead,
-               time_point Now) const;
+  expectedWait(const routing_target &Target, std::size_t Ahead) const;
   //! Load estimate: average latency scaled by the outstanding requests per
   //! slot, the reported slowdown and the failure rate. Lower is better.
   [[nodiscard]] double score(const routing_target &Target,
@@ -136,12 +118,10 @@
     unsigned Failures = 0; //!< Consecutive.
     time_point BackoffUntil{};
     time_point ConnectionLostAt{};
-    target_notice Notice;
   };
 
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
-  [[nodiscard]] static bool wantsRequests(const record &Record, time_point Now);
   [[nodiscard]] bool isUnresponsive(const record &Record, time_point Now) const;
   record &recordOf(const routing_target &Target);
   void adjustWindow(record &Record, bool Room) const;
--- a/src/pomeloswitch/sending/send_state.hpp
+++ b/src/pomeloswitch/sending/send_state.hpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/routing/cold_target_limiter.hpp"
 #include "pomeloswitch/routing/slot_rate_meter.hpp"
 #include "pomeloswitch/routing/target_choice.hpp"
+#include "pomeloswitch/routing/target_notices.hpp"
 #include "pomeloswitch/routing/target_statistics.hpp"
 #include "pomeloswitch/routing/wait_queues.hpp"
 
@@ -21,6 +22,7 @@
   std::string FailureDomain; //!< Of this entry host.
   random_engine Random;
   target_statistics Statistics;
+  target_notices Notices;
   cold_target_limiter ColdLimiter;
   wait_queues WaitQueues;
   slot_rate_meter SlotRates;
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -130,7 +130,8 @@
 
 bool target_selection::canTakeRequest(const routing_target &Target,
                                       time_point Now) const {
-  return State.Statistics.usable(Target, Now) &&
+  return State.Notices.of(Target).wantsRequests(Now) &&
+         State.Statistics.usable(Target, Now) &&
          State.Statistics.hasRoom(Target, Now);
 }
 
@@ -162,7 +163,10 @@
 void target_selection::refuseIfWaitTooLong(const routing_target &Target,
                                            time_point Now) const {
   const std::size_t Ahead = Position->requestsAhead();
-  const auto Expected = State.Statistics.expectedWait(Target, Ahead, Now);
+  const std::chrono::duration<double> Quiet =
+      State.Notices.of(Target).WantsNothingUntil - Now;
+  const auto Expected =
+      std::max(State.Statistics.expectedWait(Target, Ahead), Quiet);
   if (Now + Expected <= WaitDeadline)
     return;
   const auto HalfWait = std::chrono::duration_cast<milliseconds>(Expected / 2);
--- a/tests/routing/target_statistics_test.cpp
+++ b/tests/routing/target_statistics_test.cpp
@@ -57,7 +57,7 @@
     Statistics.recordLoad(Target, {2, 6, 2, 1}, Now);
   EXPECT_FALSE(Statistics.hasRoom(Target, Now));
   EXPECT_TRUE(Statistics.hasRoom(Target, Now + std::chrono::seconds(30)));
-  EXPECT_GT(Statistics.expectedWait(Target, 3, Now).count(), 0.5);
+  EXPECT_GT(Statistics.expectedWait(Target, 3).count(), 0.5);
   for (unsigned Answer = 0; Answer < 20; ++Answer)
     Statistics.recordLoad(Target, {1, 0, 2, 1}, Now);
   EXPECT_TRUE(Statistics.hasRoom(Target, Now));
@@ -93,27 +93,5 @@
   EXPECT_NEAR(Statistics.unqueuedLatencies().at("t"), 0.1, 0.001);
 }
 
-TEST_F(target_statistics_test, sends_nothing_to_a_target_that_leaves) {
-  EXPECT_FALSE(Statistics.recordNotice(Target, {}));
-  EXPECT_TRUE(Statistics.recordNotice(Target, {true, {}}));
-  EXPECT_FALSE(Statistics.recordNotice(Target, {true, {}}));
-  EXPECT_FALSE(Statistics.usable(Target, Now + std::chrono::hours(1)));
-  roundTrip(send_outcome::Answered, milliseconds(5));
-  EXPECT_FALSE(Statistics.usable(Target, Now));
-  routing_target Restarted = Target;
-  Restarted.Member.Incarnation = 2;
-  EXPECT_TRUE(Statistics.usable(Restarted, Now));
-}
-
-TEST_F(target_statistics_test, sends_nothing_until_the_time_a_target_named) {
-  const auto Until = Now + std::chrono::seconds(3);
-  EXPECT_TRUE(Statistics.recordNotice(Target, {false, Until}));
-  EXPECT_FALSE(Statistics.recordNotice(
-      Target, {false, Until - std::chrono::seconds(1)}));
-  EXPECT_FALSE(Statistics.usable(Target, Until - milliseconds(1)));
-  EXPECT_GT(Statistics.expectedWait(Target, 0, Now).count(), 2.9);
-  EXPECT_TRUE(Statistics.usable(Target, Until));
-}
-
 } // namespace
 } // namespace pomelo
