Refuse at once what no target wants in time

A key's owner was looked at, a service's targets were not.

One that leaves is no reason: another may join.

Test: each_notice/selection_after_notices; rows all_quiet_for_long and one_leaving_one_quiet failed before, 7 of 7 pass.

--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -96,12 +96,36 @@
       Selected.Target = std::move(Target);
       return Selected;
     }
+  refuseIfUnwanted(View, Now);
   if (Now + PollInterval >= WaitDeadline)
     throw pomelo_error(error_kind::NoTarget,
                        "the service has no target that accepts new work");
   return std::nullopt;
 }
 
+//! Refuses the request at once if no target that may take it wants requests
+//! before its deadline for waiting. One that is leaving may be replaced at any
+//! moment.
+void target_selection::refuseIfUnwanted(const routing_view &View,
+                                        time_point Now) const {
+  const routing_service *Service = View.findService(Request.Service);
+  if (!Service)
+    return;
+  std::optional<time_point> Earliest;
+  for (const auto &Target : Service->Targets) {
+    const target_notice Notice = State.Notices.of(*Target);
+    if (Target->AcceptsNewWork && !Notice.Leaving)
+      Earliest = std::min(Earliest.value_or(time_point::max()),
+                          Notice.WantsNothingUntil);
+  }
+  if (!Earliest || *Earliest <= std::max(Now, WaitDeadline))
+    return;
+  throw pomelo_error(
+      error_kind::NoTarget, "no target of the service wants requests in time",
+      std::clamp(std::chrono::ceil<milliseconds>(*Earliest - Now),
+                 MinRetryAfter, MaxRetryAfter));
+}
+
 routing_target_ptr target_selection::choose(const routing_view &View,
                                             bool Authoritative,
                                             time_point Now) {
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -64,6 +64,7 @@
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
   void enqueue(const std::string &QueueName);
+  void refuseIfUnwanted(const routing_view &View, time_point Now) const;
   void refuseIfWaitTooLong(const routing_target &Target, time_point Now) const;
   [[noreturn]] static void refuseKey(bool Authoritative, bool Owned);
 
--- a/tests/sending/target_selection_test.cpp
+++ b/tests/sending/target_selection_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <optional>
 
 namespace pomelo {
 namespace {
@@ -153,6 +154,63 @@
   }
 }
 
+//! What the near and the far target have said, and whether a request that can
+//! wait 300 ms for either is refused without waiting.
+struct notice_case {
+  std::string Name;
+  std::string Service;
+  target_notice Near;
+  target_notice Far;
+  bool Refused;
+};
+
+void PrintTo(const notice_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class selection_after_notices
+    : public target_selection_test,
+      public testing::WithParamInterface<notice_case> {};
+
+TEST_P(selection_after_notices, refuses_at_once_what_cannot_be_sent_in_time) {
+  State.Notices.record(*Near, GetParam().Near, Start);
+  State.Notices.record(*Far, GetParam().Far, Start);
+  target_selection Wait(State, pendingRequestFor(GetParam().Service), Start);
+  std::optional<pomelo_error> Refusal;
+  try {
+    EXPECT_FALSE(Wait.decide(View, true, Start));
+  } catch (const pomelo_error &Caught) {
+    Refusal = Caught;
+  }
+  ASSERT_EQ(Refusal.has_value(), GetParam().Refused);
+  if (Refusal) {
+    EXPECT_EQ(answerFor(Refusal->kind()).RunState, run_state::NotRun);
+    EXPECT_GE(Refusal->retryAfter(), milliseconds(200));
+  }
+}
+
+constexpr target_notice Leaving{true, {}};
+
+constexpr target_notice quietFor(milliseconds Time) {
+  return {false, target_selection::time_point{std::chrono::hours(1)} + Time};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_notice, selection_after_notices,
+    testing::Values(
+        notice_case{
+            "owner_quiet_for_long", "keyed", quietFor(seconds(9)), {}, true},
+        notice_case{
+            "owner_soon_back", "keyed", quietFor(milliseconds(90)), {}, false},
+        notice_case{"owner_leaving", "keyed", Leaving, {}, false},
+        notice_case{"all_quiet_for_long", "any", quietFor(seconds(9)),
+                    quietFor(seconds(8)), true},
+        notice_case{"one_soon_back", "any", quietFor(seconds(9)),
+                    quietFor(milliseconds(90)), false},
+        notice_case{"one_leaving_one_quiet", "any", Leaving,
+                    quietFor(seconds(8)), true},
+        // Another target may join at any moment.
+        notice_case{"all_leaving", "any", Leaving, Leaving, false}),
+    [](const auto &Case) { return Case.param.Name; });
+
 TEST_F(target_selection_test, lets_the_more_urgent_go_first) {
   fill(milliseconds(100));
   pending_request LowPriority = pendingRequestFor("keyed");
