A control host beside the founders is taken in

Symptom: a control host that is started with the founding mark but is none of the seeds (one of four on the larger installation) waited to found a group for ever: it followed no leader and refused what callers sent it.

Cause: the mark was taken for being a founder. Who founds is in the list of the first start.

Now such a host asks to be taken in. It was not started in place of anybody, so it displaces no voter that answers (first_start in its request), also not one of its own failure domain; it waits as a learner and stands in for one that is silent.

--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -32,6 +32,9 @@
     //! Whether this host may found a group. While it is blank it waits for
     //! that and does not ask to be taken in.
     bool MayFound = false;
+    //! Whether the data folder was created at the first start of the system. A
+    //! host that is no founder then takes the place of no voter that answers.
+    bool FirstStart = false;
     std::uint64_t RunId = 0; //!< Random, chosen at each process start.
     raft_times Times;
     raft_limits Limits;
--- a/src/pomeloswitch/raft/raft_join.cpp
+++ b/src/pomeloswitch/raft/raft_join.cpp
@@ -35,6 +35,7 @@
     Message.clear_to_replica();
     Message.mutable_join_request()->set_address(Options.Address);
     Message.mutable_join_request()->set_failure_domain(Options.FailureDomain);
+    Message.mutable_join_request()->set_first_start(Options.FirstStart);
     send(std::move(Message));
   }
 }
@@ -93,7 +94,8 @@
   Member.set_failure_domain(Message.join_request().failure_domain());
   // Only a new host stands in for another: one that was replaced and comes back
   // would else take its place again.
-  if (Message.term() == 0 && Message.durable_index() == 0)
+  if (Message.term() == 0 && Message.durable_index() == 0 &&
+      !Message.join_request().first_start())
     Member.set_replaces(replaceableVoterIn(Member.failure_domain(), Now));
   return proposeConfig(std::move(Config));
 }
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -23,7 +23,13 @@
   Core.KnownHosts = Options.Members;
   Core.KnownHosts.insert(Core.KnownHosts.end(), Options.Founders.begin(),
                          Options.Founders.end());
-  Core.MayFound = !Options.Founders.empty();
+  // The right is given to every host of the first start, but only the hosts
+  // named then found the group.
+  Core.MayFound = std::any_of(Options.Founders.begin(), Options.Founders.end(),
+                              [&](const host_address &Founder) {
+                                return Founder.Id == Options.HostId;
+                              });
+  Core.FirstStart = !Options.Founders.empty();
   Core.RunId = Random();
   Core.Times = Options.Times;
   Core.Random = [&Random] { return Random(); };
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -31,7 +31,8 @@
     std::string Address; //!< IP:port at which other control hosts reach this.
     std::string Secret;
     std::vector<host_address> Members; //!< Addresses known from the start.
-    //! The hosts that found the group together; empty if this host may not.
+    //! The hosts that found the group together; empty if this host was not
+    //! started together with them. It need not be one of them.
     std::vector<host_address> Founders;
     raft_times Times;
     //! A snapshot is taken once this many entries, or bytes of entries, were
--- a/tests/integration/control_group_test.cpp
+++ b/tests/integration/control_group_test.cpp
@@ -531,5 +531,26 @@
   expectPreserved(Made);
 }
 
+// The first start of the system gives the right to all control hosts, also to
+// those beyond the seeds.
+TEST_F(control_group,
+       takes_in_a_host_with_the_right_to_found_that_is_no_founder) {
+  startAdditionalHost("c4", {{"may_found", true}});
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c1", "c2", "c3", "a learner"});
+      },
+      CatchUpTime));
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_TRUE(votersAre({"c1", "c2", "c3", "a learner"}));
+  Group->at("c1").Process->kill();
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return votersAre({"c2", "c3", "c4"});
+      },
+      CatchUpTime));
+  EXPECT_FALSE(makeChanges("after", 1).empty());
+}
+
 } // namespace
 } // namespace pomelo::emulator
--- a/tests/raft/raft_group.cpp
+++ b/tests/raft/raft_group.cpp
@@ -61,11 +61,13 @@
 
 void raft_group::addJoiningHost(const std::string &Id,
                                 const std::string &FailureDomain,
-                                const std::vector<std::string> &Seeds) {
+                                const std::vector<std::string> &Seeds,
+                                bool FirstStart) {
   fake_host &Host = Hosts[Id];
   Host.Id = Id;
   Host.FailureDomain = FailureDomain;
   Host.MayFound = false;
+  Host.FirstStart = FirstStart;
   for (const std::string &Seed : Seeds)
     Host.Seeds.push_back({Seed, Seed});
   resetDisk(Host);
@@ -93,6 +95,7 @@
   Options.Address = Id;
   Options.KnownHosts = Host.Seeds;
   Options.MayFound = Host.MayFound;
+  Options.FirstStart = Host.FirstStart;
   Options.RunId = Random();
   Options.Random = [this] { return Random(); };
   Options.Limits.MaxMessageBytes = 200;
@@ -111,6 +114,7 @@
   crash(Id, false);
   resetDisk(Hosts[Id]);
   Hosts[Id].MayFound = false;
+  Hosts[Id].FirstStart = false;
 }
 
 raft_time raft_group::endDay(const std::set<std::string> &DiskLost,
--- a/tests/raft/raft_group.hpp
+++ b/tests/raft/raft_group.hpp
@@ -38,6 +38,7 @@
   std::string Id;
   std::string FailureDomain;
   bool MayFound = true;
+  bool FirstStart = true;
   //! Hosts that its settings name.
   std::vector<host_address> Seeds;
   std::unique_ptr<raft_core> Core; //!< Null while the host is down.
@@ -72,10 +73,11 @@
   [[nodiscard]] std::vector<std::string> hostIds() const;
   //! Starts a host with an empty disk that is not a member of the group.
   void addHost(const std::string &Id);
-  //! Starts a host with an empty disk and no right to found a group, whose
-  //! settings name the hosts of \p Seeds. It asks to be taken in.
+  //! Starts a host with an empty disk that is no founder, whose settings name
+  //! the hosts of \p Seeds. It asks to be taken in.
   void addJoiningHost(const std::string &Id, const std::string &FailureDomain,
-                      const std::vector<std::string> &Seeds);
+                      const std::vector<std::string> &Seeds,
+                      bool FirstStart = false);
   //! Stops a host for good.
   void removeHost(const std::string &Id);
   //! Stops a host. A batch that is being written becomes durable if
--- a/tests/raft/replaced_host_test.cpp
+++ b/tests/raft/replaced_host_test.cpp
@@ -216,6 +216,20 @@
   Group.expectInsteadOf("elsewhere", Old, 1200);
 }
 
+//! A host that was started together with the founders of the group, in the
+//! domain of one of them, stands in for none that answers.
+void replaceBySpare(replaced_host_fixture &Group) {
+  const std::string Old = Group.follower();
+  Group.Group.addJoiningHost("spare", Group.domainOf(Old), {"c1", "c2", "c3"},
+                             true);
+  Group.Group.runSteps(PlannedOverlapSteps);
+  const auto Voters = Group.Group.voters();
+  EXPECT_TRUE(Voters.contains(Old) && !Voters.contains("spare"))
+      << Group.describe();
+  Group.Group.removeHost(Old);
+  Group.expectInsteadOf("spare", Old, MaxSilentSteps);
+}
+
 const replacement Replacements[] = {
     {"planned", [](auto &Group) { replacePlanned(Group, Group.follower()); }},
     {"planned_leader",
@@ -231,6 +245,7 @@
     {"two_for_one", startTwoForOne},
     {"replacement_dies", loseReplacementWhileItCatchesUp},
     {"from_another_domain", replaceFromAnotherDomain},
+    {"by_spare", replaceBySpare},
     {"two_of_five",
      [](auto &Group) {
        const std::string Second = Group.follower();
