--- a/tests/tools/fault_proxy_test.cpp
+++ b/tests/tools/fault_proxy_test.cpp
@@ -154,6 +154,17 @@
   EXPECT_EQ(get().Status, 0);
 }
 
+// Others of the machine must not wait for the cut host's sockets to be found.
+TEST_F(fault_proxy_route, a_fault_of_one_source_delays_no_other) {
+  constexpr int Connections = 20;
+  Proxy.setSource("other", getppid());
+  Proxy.setFaultsFrom("r", "other", connectionCut());
+  const auto Start = steady_clock::now();
+  for (int Number = 0; Number < Connections; ++Number)
+    EXPECT_EQ(get().Status, 200);
+  EXPECT_LT(steady_clock::now() - Start, Connections * milliseconds(50));
+}
+
 struct control_case {
   std::string Name;
   std::string Path;
--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -28,11 +28,10 @@
       ToUpstream(Client, Server, Faults.ToUpstream),
       ToClient(Server, Client, Faults.ToClient) {}
 
-const std::optional<std::string> &
-proxied_connection::source(source_table &Sources) {
+const std::string &proxied_connection::source(const source_table &Sources) {
   if (!Source)
     Source = Sources.sourceOf(Client);
-  return Source;
+  return *Source;
 }
 
 void proxied_connection::start(const tcp::endpoint &Upstream,
--- a/tools/fault_proxy/proxied_connection.hpp
+++ b/tools/fault_proxy/proxied_connection.hpp
@@ -35,9 +35,9 @@
   //! Resets both ends.
   void reset();
 
-  //! Returns the name of the client process in \p Sources; nothing if it is
-  //! not known yet.
-  const std::optional<std::string> &source(source_table &Sources);
+  //! Returns the name of the client process in \p Sources; empty if it has
+  //! none.
+  const std::string &source(const source_table &Sources);
 
 private:
   boost::asio::awaitable<void> connect(boost::asio::ip::tcp::endpoint Address);
--- a/tools/fault_proxy/proxy_route.cpp
+++ b/tools/fault_proxy/proxy_route.cpp
@@ -3,10 +3,10 @@
 #include "fault_proxy/proxied_connection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace pomelo::fault_proxy {
@@ -16,10 +16,15 @@
 using boost::system::error_code;
 
 proxy_route::proxy_route(asio::io_context &Io, const tcp::endpoint &Listen,
-                         const tcp::endpoint &Upstream, source_table *Sources)
+                         const tcp::endpoint &Upstream,
+                         const source_table *Sources)
     : Io(Io), Acceptor(Io, Listen), Address(Acceptor.local_endpoint()),
-      Upstream(Upstream), Sources(Sources), RecheckTimer(Io) {
-  asio::co_spawn(Io, acceptLoop(*this, Open), asio::detached);
+      Upstream(Upstream), Sources(Sources) {
+  asio::co_spawn(Io, acceptLoop(*this, Open),
+                 [](const std::exception_ptr &Failure) {
+                   if (Failure)
+                     std::rethrow_exception(Failure);
+                 });
 }
 
 proxy_route::~proxy_route() {
@@ -50,28 +55,10 @@
 route_faults proxy_route::faultsOf(proxied_connection &Connection) {
   if (!Sources || BySource.empty())
     return DefaultFaults;
-  const auto &Source = Connection.source(*Sources);
-  if (!Source) {
-    scheduleRecheck();
-    return blockBothDirections();
-  }
-  const auto SourceFaults = BySource.find(*Source);
+  const auto SourceFaults = BySource.find(Connection.source(*Sources));
   return SourceFaults == BySource.end() ? DefaultFaults : SourceFaults->second;
 }
 
-void proxy_route::scheduleRecheck() {
-  if (RecheckPending)
-    return;
-  RecheckPending = true;
-  RecheckTimer.expires_after(source_table::MaxAge);
-  RecheckTimer.async_wait([this, Alive = Open](error_code Error) {
-    if (Error || !*Alive)
-      return;
-    RecheckPending = false;
-    applyFaults();
-  });
-}
-
 void proxy_route::applyFaults() {
   const auto Current = Connections;
   for (const auto &Connection : Current)
--- a/tools/fault_proxy/proxy_route.hpp
+++ b/tools/fault_proxy/proxy_route.hpp
@@ -8,7 +8,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -28,7 +27,7 @@
   proxy_route(boost::asio::io_context &Io,
               const boost::asio::ip::tcp::endpoint &Listen,
               const boost::asio::ip::tcp::endpoint &Upstream,
-              source_table *Sources);
+              const source_table *Sources);
   ~proxy_route();
   proxy_route(const proxy_route &) = delete;
   proxy_route &operator=(const proxy_route &) = delete;
@@ -61,16 +60,12 @@
                                                  std::shared_ptr<bool> Open);
   void applyFaults();
   route_faults faultsOf(proxied_connection &Connection);
-  //! Applies the faults again once the sources of new connections are known.
-  void scheduleRecheck();
 
   boost::asio::io_context &Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::ip::tcp::endpoint Address;
   boost::asio::ip::tcp::endpoint Upstream;
-  source_table *Sources;
-  boost::asio::steady_timer RecheckTimer;
-  bool RecheckPending = false;
+  const source_table *Sources;
   route_faults DefaultFaults;
   std::map<std::string, route_faults> BySource;
   std::set<std::shared_ptr<proxied_connection>> Connections;
