An entry host dials each control host once

Symptom: none of the cuts in the project's own tests and demo cut an entry host off from the control hosts. An entry host whose settings name a control host by one address (through a proxy) connected to it a second time, by the address that the group names, as to another host: two links, two heartbeats answered.

Found in the kept logs of domain_cut: 'Discovered control host c1' at the address behind the proxy, and no lost lease in the cut domain.

Now the settings' address goes before that of the group, as between control hosts.

--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -26,6 +26,7 @@
 struct control_session::control_host {
   std::string Id;
   std::string Address;
+  bool FromSettings = false;
   link_silence Silence{LinkTimeout};
   std::unique_ptr<peer_dialer> Dialer;
 };
@@ -36,38 +37,56 @@
     : Io(Io), Settings(Settings), Incarnation(Incarnation),
       Callbacks(std::move(Callbacks)), HeartbeatTimer(Io), ProposalTimer(Io) {
   for (const host_address &Host : Settings.ControlHosts)
-    addHost(Host.Id, Host.Address);
+    addHost(Host).FromSettings = true;
 }
 
 control_session::~control_session() = default;
 
-void control_session::addHost(const std::string &Id,
-                              const std::string &Address) {
+control_session::control_host &
+control_session::addHost(const host_address &Address) {
   auto Host = std::make_unique<control_host>();
-  Host->Id = Id;
-  Host->Address = Address;
+  Host->Id = Address.Id;
+  Host->Address = Address.Address;
   Host->Dialer = std::make_unique<peer_dialer>(
-      Io, parseEndpoint(Address), Settings.ClusterSecret, makeHandlers(*Host));
-  Hosts.push_back(std::move(Host));
+      Io, parseEndpoint(Address.Address), Settings.ClusterSecret,
+      makeHandlers(*Host));
+  return *Hosts.emplace_back(std::move(Host));
 }
 
-void control_session::discoverControlHost(const host_address &Control) {
-  const bool Known =
-      std::any_of(Hosts.begin(), Hosts.end(), [&Control](const auto &Host) {
-        return Host->Address == Control.Address;
-      });
-  if (Known || Control.Address.empty())
+bool control_session::knowsAddress(const std::string &Address) const {
+  return std::any_of(Hosts.begin(), Hosts.end(), [&Address](const auto &Host) {
+    return Host->Address == Address;
+  });
+}
+
+bool control_session::settingsName(const std::string &Id) const {
+  return std::any_of(Hosts.begin(), Hosts.end(), [&Id](const auto &Host) {
+    return Host->FromSettings && Host->Id == Id;
+  });
+}
+
+void control_session::connectTo(const host_address &Control) {
+  if (knowsAddress(Control.Address))
     return;
-  Log.info("Discovered control host {} at {}.", Control.Id, Control.Address);
-  addHost(Control.Id, Control.Address);
-  Hosts.back()->Dialer->start();
+  Log.info("The settings name control host {} at {}.", Control.Id,
+           Control.Address);
+  control_host &Host = addHost(Control);
+  Host.FromSettings = true;
+  Host.Dialer->start();
 }
 
 //! Connects to members that joined the control group after this host's settings
-//! were written.
+//! were written. The settings may name a member by an address of their own, as
+//! through a proxy; it is not connected to by another one as well.
 void control_session::discoverMembers(const wire::heartbeat_ack &Ack) {
-  for (const auto &Member : Ack.control_hosts())
-    discoverControlHost({Member.id(), Member.address()});
+  for (const auto &Member : Ack.control_hosts()) {
+    if (Member.address().empty() || settingsName(Member.id()) ||
+        knowsAddress(Member.address()))
+      continue;
+    Log.info("Discovered control host {} at {}.", Member.id(),
+             Member.address());
+    addHost({Member.id(), Member.address()}).Dialer->start();
+  }
 }
 
 //! Dials links again that stay silent: a lost connection may still look open.
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -79,8 +79,9 @@
   //! within \p Timeout. After a timeout the command may still be committed.
   void propose(wire::command Command, std::chrono::milliseconds Timeout,
                proposal_table::completion Done);
-  //! Connects to \p Control unless its address is already known or empty.
-  void discoverControlHost(const host_address &Control);
+  //! Connects to \p Control, which the settings name, unless its address is
+  //! already known.
+  void connectTo(const host_address &Control);
   //! Schedules a heartbeat ahead of the regular interval.
   void sendHeartbeatSoon();
   //! Reports in the following heartbeats that this host is stopping.
@@ -92,7 +93,9 @@
   struct control_host;
   struct sent_heartbeat;
 
-  void addHost(const std::string &Id, const std::string &Address);
+  control_host &addHost(const host_address &Address);
+  [[nodiscard]] bool knowsAddress(const std::string &Address) const;
+  [[nodiscard]] bool settingsName(const std::string &Id) const;
   void discoverMembers(const wire::heartbeat_ack &Ack);
   void redialSilentHosts(steady_time Now);
   peer_link::handlers makeHandlers(control_host &Host);
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -266,7 +266,7 @@
 
 void entry_host::reload(const entry_settings &Changed) {
   for (const host_address &Control : Changed.ControlHosts)
-    Session->discoverControlHost(Control);
+    Session->connectTo(Control);
 }
 
 void entry_host::beginStop() {
--- a/tests/integration/fault_links_test.cpp
+++ b/tests/integration/fault_links_test.cpp
@@ -33,14 +33,17 @@
                 {"GET", "/public/info", {}, {}, milliseconds(500)});
   }
 
-  //! Checks readiness as a load balancer does: hosts that are not ready get no
-  //! requests.
-  static bool serves(const std::string &EntryId) {
+  static bool ready(const std::string &EntryId) {
     const std::string Ops(
         Deployment->at(EntryId).Description.at("ops_address").as_string());
     return call(Ops, {"GET", "/readyz", {}, {}, milliseconds(500)}).Status ==
-               200 &&
-           get(EntryId).Status == 200;
+           200;
+  }
+
+  //! Checks readiness as a load balancer does: hosts that are not ready get no
+  //! requests.
+  static bool serves(const std::string &EntryId) {
+    return ready(EntryId) && get(EntryId).Status == 200;
   }
 
   //! Waits until the entry host serves, or stops serving if not \p Served.
@@ -65,7 +68,11 @@
   ASSERT_TRUE(waitForServing("b-e1", true));
   Deployment->links().cutDomain("b", GetParam().Kind);
   EXPECT_TRUE(waitForServing("b-e1", false));
-  EXPECT_EQ(get("a-e1").Status, 200);
+  const http_answer Uncut = get("a-e1");
+  EXPECT_EQ(Uncut.Status, 200) << Uncut.Failure;
+  // Cut from the control host too, not just from the target.
+  EXPECT_TRUE(waitUntil([] { return !ready("b-e1"); }, seconds(10)));
+  EXPECT_TRUE(ready("a-e1"));
   Deployment->links().heal();
   EXPECT_TRUE(waitForServing("b-e1", true));
 }
