--- a/tools/emulator/deployment.hpp
+++ b/tools/emulator/deployment.hpp
@@ -123,7 +123,8 @@
 public:
   builder &withPlan(deployment_plan Value);
   //! Writes the files to \p Value and keeps them. Without this call, a
-  //! temporary folder is used and removed on destruction.
+  //! temporary folder is used and removed on destruction, unless the
+  //! environment variable POMELO_KEEP_FOLDERS is set.
   builder &withFolder(std::filesystem::path Value);
   //! Starts all processes and applies the inventory and the rules.
   //! \throws std::runtime_error if a process is not ready in time.
--- a/tools/emulator/deployment_builder.cpp
+++ b/tools/emulator/deployment_builder.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 
@@ -36,7 +37,7 @@
 
 std::unique_ptr<deployment> deployment::builder::build() {
   Built.reset(new deployment());
-  Built->KeepFolder = !Folder.empty();
+  Built->KeepFolder = !Folder.empty() || std::getenv("POMELO_KEEP_FOLDERS");
   Built->Plan = Plan;
   if (Plan.FaultProxy)
     Built->Links = std::make_unique<fault_links>();
