A target that joins gets slots although no owner has too many

A release, a scale-out and a domain taken back leave targets idle the same way.

Cause: slots moved only off an owner with a quarter more than its share and one slot. One target that joins 21 leaves each owner 5% above its share; two that were measured as slow beside four, 11%. Without requests its speed is never measured again, so it stayed idle for good.

Now a receiver under a quarter of its share gets slots of the most loaded owner, as long as none are under way and the giver stays the more loaded.

--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -193,9 +193,9 @@
   }
 
   //! Moves slots from the most loaded owner to the least loaded receiver while
-  //! the former exceeds its share by the tolerance or more, within the limits
-  //! on moves in flight. Plans no moves in a round that grants or revokes slots
-  //! for other reasons.
+  //! the former exceeds its share by the tolerance or more, or the latter is
+  //! nearly idle, within the limits on moves in flight. Plans no moves in a
+  //! round that grants or revokes slots for other reasons.
   void planBalance() {
     if (Candidates.size() < 2 || Grants.grants_size() > 0 ||
         Revokes.slots_size() > 0)
@@ -212,7 +212,8 @@
   }
 
   //! Revokes the heaviest movable slot that does not weigh more than the excess
-  //! of the most loaded owner. Returns false if no move is possible or needed.
+  //! of the most loaded owner, or than what a nearly idle receiver lacks.
+  //! Returns false if no move is possible or needed.
   bool planMove(double Average, bool ByLoad) {
     candidate *From = nullptr;
     candidate *To = nullptr;
@@ -228,26 +229,46 @@
     const double Allowed = Limits.Tolerance * Average +
                            (ByLoad ? Limits.LoadTolerance * Share : 0);
     const double Excess = From->OwnedWeight - Share;
-    if (Excess < Allowed)
+    std::optional<std::uint32_t> Moved;
+    if (Excess >= Allowed)
+      Moved = heaviestSlot(*From, Excess);
+    else if (SlotsRevoking == 0 && // Those may be for this receiver.
+             To->OwnedWeight < Limits.MinFill * shareOf(*To))
+      Moved = heaviestSlot(*From, weightToFill(*From, *To));
+    if (!Moved)
       return false;
-    const double Spare = std::max(Excess, shareOf(*To) - To->OwnedWeight);
+    From->OwnedWeight -= Weights[*Moved];
+    To->OwnedWeight += Weights[*Moved];
+    MovedSlots.insert(*Moved);
+    Revokes.add_slots(*Moved);
+    return true;
+  }
+
+  //! Returns the weight that a receiver lacks, or less, so that \p From stays
+  //! at least as loaded as it: the slot would else move back.
+  [[nodiscard]] double weightToFill(const candidate &From,
+                                    const candidate &To) const {
+    const double Even =
+        (From.OwnedWeight * To.Capacity - To.OwnedWeight * From.Capacity) /
+        (From.Capacity + To.Capacity);
+    return std::min(shareOf(To) - To.OwnedWeight, Even);
+  }
+
+  //! Returns the heaviest slot of \p Owner that can be moved and does not weigh
+  //! more than \p MaxWeight.
+  [[nodiscard]] std::optional<std::uint32_t>
+  heaviestSlot(const candidate &Owner, double MaxWeight) const {
     std::optional<std::uint32_t> Best;
     for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const slot_ownership &Slot = (*Table)[Number];
       const bool Movable = Slot.Phase == slot_phase::Active &&
-                           Slot.Owner == From->Target->TargetId &&
+                           Slot.Owner == Owner.Target->TargetId &&
                            !MovedSlots.contains(Number) &&
-                           Weights[Number] <= std::min(Spare, Excess);
+                           Weights[Number] <= MaxWeight;
       if (Movable && (!Best || Weights[Number] > Weights[*Best]))
         Best = Number;
     }
-    if (!Best)
-      return false;
-    From->OwnedWeight -= Weights[*Best];
-    To->OwnedWeight += Weights[*Best];
-    MovedSlots.insert(*Best);
-    Revokes.add_slots(*Best);
-    return true;
+    return Best;
   }
 
   void emit(std::vector<wire::command> &Commands) {
--- a/src/pomeloswitch/ownership/slot_planner.hpp
+++ b/src/pomeloswitch/ownership/slot_planner.hpp
@@ -20,6 +20,10 @@
   //! Additional fraction of its share by which an owner may exceed it if loads
   //! are known.
   double LoadTolerance = 0.25;
+  //! Fraction of its share up to which a receiver gets slots although no owner
+  //! exceeds its own share: without any, it would stay idle and its speed
+  //! unknown.
+  double MinFill = 0.25;
   //! Replaces MovesInFlight if loads are known. The keys of a slot are not
   //! served while it moves.
   std::uint32_t LoadMovesInFlight = 6;
--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -210,6 +210,97 @@
   EXPECT_EQ(countInPhase(slot_phase::Revoking), planner_limits().MovesInFlight);
 }
 
+//! Targets that serve all slots, and some that join them.
+struct joining_case {
+  std::string Name;
+  std::uint32_t Slots;
+  unsigned Serving;
+  unsigned Joining;
+  double JoiningSeconds; //!< Time of a request there; 0.1 s elsewhere.
+};
+
+void PrintTo(const joining_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class slots_of_joining_targets
+    : public slot_planning,
+      public testing::WithParamInterface<joining_case> {
+protected:
+  //! Reports the same load of each slot, and the speed of each target.
+  void sendLoads() {
+    wire::heartbeat Beat;
+    Beat.set_host_id("e1");
+    auto *Loads = Beat.add_loads();
+    Loads->set_service("archive");
+    for (std::uint32_t Slot = 0; Slot < GetParam().Slots; ++Slot) {
+      Loads->add_slots(Slot);
+      Loads->add_per_second(1);
+    }
+    for (const auto &[Id, Target] : Driven.State.targets()) {
+      auto *Speed = Beat.add_speeds();
+      Speed->set_target_id(Id);
+      Speed->set_seconds(Id[0] == 'j' ? GetParam().JoiningSeconds : 0.1);
+    }
+    this->Loads.recordHeartbeat(Beat, Now);
+  }
+};
+
+// A target without slots is never measured again, so it would stay idle.
+TEST_P(slots_of_joining_targets, are_some_although_no_owner_has_too_many) {
+  const joining_case &Case = GetParam();
+  Driven.setInventory(testInventory(Case.Slots));
+  for (unsigned Number = 1; Number <= Case.Serving; ++Number)
+    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  planAll();
+  for (unsigned Number = 1; Number <= Case.Joining; ++Number)
+    join(testTarget(fmt::format("j{}", Number), 1, true, 5000 + Number));
+  sendLoads();
+  EXPECT_LT(planAll(), 20U);
+  const auto Active = activeSlots();
+  for (unsigned Number = 1; Number <= Case.Joining; ++Number)
+    EXPECT_TRUE(Active.contains(fmt::format("j{}", Number))) << Number;
+  EXPECT_TRUE(Planner.plan(Driven.State, Leases, Loads, Now).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_fleet, slots_of_joining_targets,
+    testing::Values(joining_case{"two_slow_beside_four", 64, 4, 2, 0.25},
+                    joining_case{"one_beside_some", 64, 21, 1, 0.1},
+                    joining_case{"one_beside_many", 256, 21, 1, 0.1},
+                    joining_case{"one_beside_nearly_as_many_as_slots", 256, 222,
+                                 1, 0.1}),
+    [](const auto &Info) { return Info.param.Name; });
+
+TEST_P(slots_of_joining_targets, are_no_more_than_they_lack_while_these_move) {
+  const joining_case &Case = GetParam();
+  Driven.setInventory(testInventory(Case.Slots));
+  for (unsigned Number = 1; Number <= Case.Serving; ++Number) {
+    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+    SilentTargets.insert(fmt::format("t{}", Number));
+  }
+  plan();
+  for (unsigned Number = 1; Number <= Case.Serving; ++Number)
+    sendTargetReport(fmt::format("t{}", Number));
+  plan();
+  for (unsigned Number = 1; Number <= Case.Joining; ++Number)
+    join(testTarget(fmt::format("j{}", Number), 1, true, 5000 + Number));
+  const auto Targets = Case.Serving + Case.Joining;
+  const double Share = static_cast<double>(Case.Slots) / Targets;
+  const auto Idle = Targets - static_cast<unsigned>(activeSlots().size());
+  sendLoads();
+  for (int Round = 0; Round < 5; ++Round)
+    plan();
+  EXPECT_GE(countInPhase(slot_phase::Revoking), 1U);
+  EXPECT_LE(countInPhase(slot_phase::Revoking), Idle * Share);
+}
+
+TEST_F(slot_planning, keeps_slots_where_there_are_fewer_than_targets) {
+  for (unsigned Number = 1; Number <= 20; ++Number)
+    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  EXPECT_LT(planAll(), 20U);
+  EXPECT_TRUE(Planner.plan(Driven.State, Leases, Loads, Now).empty());
+  EXPECT_EQ(activeSlots().size(), 16U);
+}
+
 TEST_F(slot_planning, converges) {
   for (unsigned Number = 1; Number <= 5; ++Number)
     join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
