First grants leave no target without slots

Symptom: of 222 targets with 256 slots, 128 got two each and 94 none; these stayed idle, since nobody had enough too many to move one.

Cause: slots were handed to one target until it had its share, which overshoots by up to a slot; with shares of one or two slots that is all there is.

Now a target gets the next slot only as far as its share allows, and what is left over goes to the least loaded.

--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -109,10 +109,10 @@
   }
 
   //! Returns the candidate that receives the next slot, or null. Adjacent slots
-  //! go to the same candidate until it has its share, so that few calls cover
-  //! them.
-  candidate *nextReceiver() {
-    if (Receiver && Receiver->OwnedWeight < shareOf(*Receiver))
+  //! go to the same candidate as far as its share allows, so that few calls
+  //! cover them.
+  candidate *nextReceiver(double Weight) {
+    if (Receiver && Receiver->OwnedWeight + Weight <= shareOf(*Receiver))
       return Receiver;
     Receiver = nullptr;
     for (candidate &Each : Candidates)
@@ -166,7 +166,7 @@
   }
 
   void grant(std::uint32_t Number, const slot_ownership &Slot) {
-    candidate *Owner = nextReceiver();
+    candidate *Owner = nextReceiver(Weights[Number]);
     if (!Owner && Slot.Phase == slot_phase::Unowned)
       return;
     auto *Grant = Grants.add_grants();
--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -293,6 +293,19 @@
   EXPECT_LE(countInPhase(slot_phase::Revoking), Idle * Share);
 }
 
+TEST_F(slot_planning, leaves_no_target_without_slots_that_suffice_for_all) {
+  constexpr unsigned Targets = 222;
+  Driven.setInventory(testInventory(256));
+  for (unsigned Number = 1; Number <= Targets; ++Number)
+    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  plan();
+  sendHostHeartbeat();
+  for (unsigned Number = 1; Number <= Targets; ++Number)
+    sendTargetReport(fmt::format("t{}", Number));
+  plan();
+  EXPECT_EQ(activeSlots().size(), Targets);
+}
+
 TEST_F(slot_planning, keeps_slots_where_there_are_fewer_than_targets) {
   for (unsigned Number = 1; Number <= 20; ++Number)
     join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
