--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -216,7 +216,7 @@
   std::uint32_t Slots;
   unsigned Serving;
   unsigned Joining;
-  double JoiningSeconds; //!< Time of a request there; 0.1 s elsewhere.
+  float JoiningSeconds; //!< Time of a request there; 0.1 s elsewhere.
 };
 
 void PrintTo(const joining_case &Case, std::ostream *Out) { *Out << Case.Name; }
@@ -238,7 +238,7 @@
     for (const auto &[Id, Target] : Driven.State.targets()) {
       auto *Speed = Beat.add_speeds();
       Speed->set_target_id(Id);
-      Speed->set_seconds(Id[0] == 'j' ? GetParam().JoiningSeconds : 0.1);
+      Speed->set_seconds(Id[0] == 'j' ? GetParam().JoiningSeconds : 0.1F);
     }
     this->Loads.recordHeartbeat(Beat, Now);
   }
@@ -263,11 +263,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     each_fleet, slots_of_joining_targets,
-    testing::Values(joining_case{"two_slow_beside_four", 64, 4, 2, 0.25},
-                    joining_case{"one_beside_some", 64, 21, 1, 0.1},
-                    joining_case{"one_beside_many", 256, 21, 1, 0.1},
+    testing::Values(joining_case{"two_slow_beside_four", 64, 4, 2, 0.25F},
+                    joining_case{"one_beside_some", 64, 21, 1, 0.1F},
+                    joining_case{"one_beside_many", 256, 21, 1, 0.1F},
                     joining_case{"one_beside_nearly_as_many_as_slots", 256, 222,
-                                 1, 0.1}),
+                                 1, 0.1F}),
     [](const auto &Info) { return Info.param.Name; });
 
 TEST_P(slots_of_joining_targets, are_no_more_than_they_lack_while_these_move) {
