--- a/tests/ownership/slot_planner_test.cpp
+++ b/tests/ownership/slot_planner_test.cpp
@@ -45,6 +45,18 @@
     sendTargetReport(Target.TargetId);
   }
 
+  //! Joins \p Count targets named \p Prefix and a number from 1 on.
+  void joinAll(const std::string &Prefix, unsigned Count, unsigned FirstPort) {
+    for (unsigned Number = 1; Number <= Count; ++Number)
+      join(testTarget(fmt::format("{}{}", Prefix, Number), 1, true,
+                      FirstPort + Number));
+  }
+
+  void sendTargetReports() {
+    for (const auto &[Id, Target] : Driven.State.targets())
+      sendTargetReport(Id);
+  }
+
   void plan() {
     Driven.applyAll(Planner.plan(Driven.State, Leases, Loads, Now));
   }
@@ -248,11 +260,9 @@
 TEST_P(slots_of_joining_targets, are_some_although_no_owner_has_too_many) {
   const joining_case &Case = GetParam();
   Driven.setInventory(testInventory(Case.Slots));
-  for (unsigned Number = 1; Number <= Case.Serving; ++Number)
-    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  joinAll("t", Case.Serving, 4000);
   planAll();
-  for (unsigned Number = 1; Number <= Case.Joining; ++Number)
-    join(testTarget(fmt::format("j{}", Number), 1, true, 5000 + Number));
+  joinAll("j", Case.Joining, 5000);
   sendLoads();
   EXPECT_LT(planAll(), 20U);
   const auto Active = activeSlots();
@@ -273,16 +283,11 @@
 TEST_P(slots_of_joining_targets, are_no_more_than_they_lack_while_these_move) {
   const joining_case &Case = GetParam();
   Driven.setInventory(testInventory(Case.Slots));
-  for (unsigned Number = 1; Number <= Case.Serving; ++Number) {
-    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
-    SilentTargets.insert(fmt::format("t{}", Number));
-  }
+  joinAll("t", Case.Serving, 4000);
   plan();
-  for (unsigned Number = 1; Number <= Case.Serving; ++Number)
-    sendTargetReport(fmt::format("t{}", Number));
+  sendTargetReports();
   plan();
-  for (unsigned Number = 1; Number <= Case.Joining; ++Number)
-    join(testTarget(fmt::format("j{}", Number), 1, true, 5000 + Number));
+  joinAll("j", Case.Joining, 5000);
   const auto Targets = Case.Serving + Case.Joining;
   const double Share = static_cast<double>(Case.Slots) / Targets;
   const auto Idle = Targets - static_cast<unsigned>(activeSlots().size());
@@ -296,27 +301,23 @@
 TEST_F(slot_planning, leaves_no_target_without_slots_that_suffice_for_all) {
   constexpr unsigned Targets = 222;
   Driven.setInventory(testInventory(256));
-  for (unsigned Number = 1; Number <= Targets; ++Number)
-    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  joinAll("t", Targets, 4000);
   plan();
   sendHostHeartbeat();
-  for (unsigned Number = 1; Number <= Targets; ++Number)
-    sendTargetReport(fmt::format("t{}", Number));
+  sendTargetReports();
   plan();
   EXPECT_EQ(activeSlots().size(), Targets);
 }
 
 TEST_F(slot_planning, keeps_slots_where_there_are_fewer_than_targets) {
-  for (unsigned Number = 1; Number <= 20; ++Number)
-    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  joinAll("t", 20, 4000);
   EXPECT_LT(planAll(), 20U);
   EXPECT_TRUE(Planner.plan(Driven.State, Leases, Loads, Now).empty());
   EXPECT_EQ(activeSlots().size(), 16U);
 }
 
 TEST_F(slot_planning, converges) {
-  for (unsigned Number = 1; Number <= 5; ++Number)
-    join(testTarget(fmt::format("t{}", Number), 1, true, 4000 + Number));
+  joinAll("t", 5, 4000);
   EXPECT_LT(planAll(), 20U);
   EXPECT_TRUE(Planner.plan(Driven.State, Leases, Loads, Now).empty());
 }
