Bodies take a bounded part of a host's link, or are refused at once

Cause: a body of up to 64 KiB went to its target in one write, larger ones in pieces of that size. A link of 2.9 Mbit/s carries 64 KiB in 180 ms, and what follows on any connection of the host (a heartbeat, a lookup, an answer) waits behind it. Nothing bounded how many bodies did so at once.

Change: a host knows its link (link_mbit_per_s, from the platform's settings). A body that could not be passed on in time behind the pending ones is refused before it is read.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -32,6 +32,13 @@
   }
 }
 
+//! The threads share the link evenly: callers' connections are spread evenly.
+link_pacer threadLink(const entry_settings &Settings) {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  return link_pacer(Settings.LinkMegabitsPerSecond * BytesPerMegabit /
+                    Settings.TrafficThreads);
+}
+
 std::uint64_t currentIncarnation() {
   return static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
@@ -91,7 +98,7 @@
   for (unsigned Number = 0; Number < Settings.TrafficThreads; ++Number) {
     Threads.push_back(std::make_unique<traffic_thread>(
         Quota, Settings.ClusterSecret, Settings.FailureDomain, *Dialect,
-        Settings.Retries, CallerAddress,
+        Settings.Retries, threadLink(Settings), CallerAddress,
         caller_limits{Settings.MaxCallerConnections / Settings.TrafficThreads,
                       std::chrono::milliseconds(Settings.HeaderTimeoutMs)}));
     Threads.back()->useRecords(*Records);
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -18,13 +18,15 @@
                                const std::string &ClusterSecret,
                                const std::string &FailureDomain,
                                const target_dialect &Dialect,
-                               retry_limits Retries,
+                               retry_limits Retries, link_pacer Link,
                                const boost::asio::ip::tcp::endpoint &Address,
                                caller_limits Limits)
     : Work(boost::asio::make_work_guard(Io)),
       Context(Io, RoutingLease, Quota, ClusterSecret, FailureDomain, Dialect,
               Retries),
-      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {}
+      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {
+  Context.Sending.Link = Link;
+}
 
 traffic_thread::~traffic_thread() {
   Io.stop();
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -21,10 +21,11 @@
 //! "any thread" are thread-safe.
 class traffic_thread {
 public:
+  //! \p Link paces this thread's part of the host's link.
   traffic_thread(host_quota &Quota, const std::string &ClusterSecret,
                  const std::string &FailureDomain,
                  const target_dialect &Dialect, retry_limits Retries,
-                 const boost::asio::ip::tcp::endpoint &Address,
+                 link_pacer Link, const boost::asio::ip::tcp::endpoint &Address,
                  caller_limits Limits);
   ~traffic_thread();
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -80,6 +80,7 @@
     co_await awaitLease();
     planAgain();
   }
+  admitBodyToLink();
   if (Plan.RateLimited)
     co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
   AdmittedAt = steady_clock::now();
@@ -197,7 +198,8 @@
   const request_header Header = dispatchHeader(Owner);
   checkDispatchAllowed(Owner);
   Telemetry.dispatched(Owner.Target->Member.TargetId);
-  target_dispatch Dispatch(*Connection, Body, Context.Dialect, RequestId);
+  target_dispatch Dispatch(*Connection, Body, Context.Dialect, RequestId,
+                           Context.Sending.Link, PendingBody);
   struct attempt_recorder {
     attempt_recorder(exchange &Exchange, const slot_owner &Owner,
                      target_dispatch &Dispatch)
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -48,6 +48,7 @@
   [[nodiscard]] bool mayPlanWithoutLease() const;
   void planAgain();
   void boundByStop();
+  void admitBodyToLink();
   bool followConfiguration();
   boost::asio::awaitable<void> continueIfExpected();
   [[nodiscard]] std::string fingerprint() const;
@@ -88,6 +89,7 @@
   caller_body Body;
   request_telemetry Telemetry;
   claim_guard Claim;
+  link_pacer::pending_body PendingBody; //!< Counted at the link.
   send_history History;
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_failure LastFailure = attempt_failure::None;
--- a/src/pomeloswitch/http/exchange_planning.cpp
+++ b/src/pomeloswitch/http/exchange_planning.cpp
@@ -1,6 +1,8 @@
 //! By which state, and until when, a request is planned.
 #include "pomeloswitch/http/exchange.hpp"
 
+#include "pomeloswitch/sending/body_admission.hpp"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -78,6 +80,14 @@
   Plan.DeadlineUnixMs -= std::chrono::duration_cast<milliseconds>(Cut).count();
 }
 
+//! Refuses a body that would not reach a target in time before it is read.
+void exchange::admitBodyToLink() {
+  PendingBody = admitBody(Context.Sending.Link,
+                          {Body.length().value_or(0), Plan.Deadline,
+                           milliseconds(Plan.Route.LatencyGoalMs)},
+                          steady_clock::now());
+}
+
 //! Plans the request again if the configuration has changed since. Returns
 //! whether it has.
 bool exchange::followConfiguration() {
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -3,6 +3,7 @@
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
+#include "pomeloswitch/http/link_turn.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -53,10 +54,12 @@
   ResponseHasNoBody = Header.method() == http::verb::head;
   Connection.Stream.expires_at(Deadline);
   Progress = attempt_progress::Sent;
-  if (Body.fullyBuffered())
-    co_await sendBuffered(Header);
-  else
+  if (!Body.fullyBuffered())
     co_await streamBody(Header, MaxBodyBytes);
+  else if (Body.prefix().size() > Link.pieceBytes())
+    co_await sendInPieces(Header);
+  else
+    co_await sendBuffered(Header);
 }
 
 asio::awaitable<void>
@@ -77,20 +80,61 @@
   RequestFullySent = !Error;
 }
 
+//! Sends a body that is buffered, but large.
+asio::awaitable<void>
+target_dispatch::sendInPieces(const request_header &Header) {
+  paced_message Message(Header);
+  Message.content_length(Body.prefix().size());
+  Message.body().data = nullptr;
+  Message.body().more = true;
+  paced_serializer Serializer(Message);
+  error_code Error;
+  co_await http::async_write_header(Connection.Stream, Serializer,
+                                    redirect(Error));
+  if (!Error)
+    Error = co_await writePiece(Message, Serializer, Body.prefix());
+  if (!Error)
+    Error = co_await writePiece(Message, Serializer, {});
+  if (Error == beast::error::timeout)
+    fail(attempt_failure::TimedOut, "sending the body to the target timed out");
+  RequestFullySent = !Error;
+}
+
+//! Writes a piece of the body in parts, each once the link is free for it. An
+//! empty piece ends the body.
+asio::awaitable<error_code>
+target_dispatch::writePiece(paced_message &Message,
+                            paced_serializer &Serializer,
+                            std::span<const char> Piece) {
+  error_code Error;
+  do {
+    const auto Part = Piece.first(std::min(Piece.size(), Link.pieceBytes()));
+    co_await awaitLink(Link, Part.size());
+    Message.body().data = const_cast<char *>(Part.data());
+    Message.body().size = Part.size();
+    Message.body().more = !Part.empty();
+    co_await http::async_write(Connection.Stream, Serializer, redirect(Error));
+    if (Error == http::error::need_buffer)
+      Error = {};
+    PendingBody.sent(Part.size());
+    Piece = Piece.subspan(Part.size());
+  } while (!Error && !Piece.empty() && !EarlyResponse);
+  co_return Error;
+}
+
 //! Streams the body from the caller. If the target responds before the end of
 //! the body, e.g. with an error, both directions of the transfer stop.
 asio::awaitable<void> target_dispatch::streamBody(const request_header &Header,
                                                   std::uint64_t MaxBodyBytes) {
-  http::request<http::buffer_body> Message(Header);
+  paced_message Message(Header);
   if (!Body.length())
     Message.chunked(true);
-  http::request_serializer<http::buffer_body> Serializer(Message);
+  paced_serializer Serializer(Message);
   Message.body().data = nullptr;
   Message.body().more = true;
   error_code Error;
-  bool EarlyResponse = false;
   const input_observer Observer(Connection.Stream.socket(),
-                                [this, &EarlyResponse](input_state) {
+                                [this](input_state) {
                                   EarlyResponse = true;
                                   Body.cancel();
                                   Connection.Stream.cancel();
@@ -107,12 +151,7 @@
     if (Body.bytesRead() > MaxBodyBytes)
       fail(attempt_failure::ProtocolError,
            "the body exceeds the route's limit");
-    Message.body().data = const_cast<char *>(Piece.data());
-    Message.body().size = Piece.size();
-    Message.body().more = !Piece.empty();
-    co_await http::async_write(Connection.Stream, Serializer, redirect(Error));
-    if (Error == http::error::need_buffer)
-      Error = {};
+    Error = co_await writePiece(Message, Serializer, Piece);
     Piece = {};
   }
   if (Error == beast::error::timeout)
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -8,11 +8,14 @@
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
 #include "pomeloswitch/routing/target_notices.hpp"
+#include "pomeloswitch/sending/link_pacer.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace pomelo {
@@ -47,10 +50,12 @@
 //! failureCause() then give the details.
 class target_dispatch {
 public:
+  //! \p PendingBody counts the body's bytes at \p Link until they are sent.
   target_dispatch(upstream_connection &Connection, caller_body &Body,
-                  const target_dialect &Dialect, std::string_view RequestId)
+                  const target_dialect &Dialect, std::string_view RequestId,
+                  link_pacer &Link, link_pacer::pending_body &PendingBody)
       : Connection(Connection), Body(Body), Dialect(Dialect),
-        RequestId(RequestId) {}
+        RequestId(RequestId), Link(Link), PendingBody(PendingBody) {}
 
   //! \p MaxBodyBytes is the route's limit; it is enforced while the body is
   //! streamed.
@@ -76,7 +81,16 @@
   [[nodiscard]] bool answeredServerError() const;
 
 private:
+  using paced_message =
+      boost::beast::http::request<boost::beast::http::buffer_body>;
+  using paced_serializer =
+      boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
+
   boost::asio::awaitable<void> sendBuffered(const request_header &Header);
+  boost::asio::awaitable<void> sendInPieces(const request_header &Header);
+  boost::asio::awaitable<boost::system::error_code>
+  writePiece(paced_message &Message, paced_serializer &Serializer,
+             std::span<const char> Piece);
   boost::asio::awaitable<void> streamBody(const request_header &Header,
                                           std::uint64_t MaxBodyBytes);
   boost::asio::awaitable<bool> readHeader();
@@ -91,6 +105,8 @@
   caller_body &Body;
   const target_dialect &Dialect;
   std::string_view RequestId;
+  link_pacer &Link;
+  link_pacer::pending_body &PendingBody;
   response_metadata Metadata;
   target_notice Notice;
   std::optional<response_stream_parser> Response;
@@ -103,6 +119,8 @@
   attempt_failure FailureCause = attempt_failure::None;
   bool ResponseHasNoBody = false; //!< The request was a HEAD.
   bool RequestFullySent = false;
+  //! The target responded before the body was streamed to its end.
+  bool EarlyResponse = false;
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/sending/send_state.hpp
+++ b/src/pomeloswitch/sending/send_state.hpp
@@ -8,6 +8,7 @@
 #include "pomeloswitch/routing/target_notices.hpp"
 #include "pomeloswitch/routing/target_statistics.hpp"
 #include "pomeloswitch/routing/wait_queues.hpp"
+#include "pomeloswitch/sending/link_pacer.hpp"
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,7 @@
   cold_target_limiter ColdLimiter;
   wait_queues WaitQueues;
   slot_rate_meter SlotRates;
+  link_pacer Link;
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/settings/entry_settings.cpp
+++ b/src/pomeloswitch/settings/entry_settings.cpp
@@ -27,6 +27,7 @@
     "stop_grace_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
     "peer_port": {{"type": "integer", "minimum": 1, "maximum": 65535}},
     "stop_notice_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
+    "link_mbit_per_s": {{"type": "number", "minimum": 0}},
     "retries": {{
       "type": "object", "additionalProperties": false,
       "properties": {{
@@ -67,6 +68,8 @@
       integerField(Object, "stop_grace_ms", Settings.StopGraceMs));
   Settings.StopNoticeMs = static_cast<std::uint32_t>(
       integerField(Object, "stop_notice_ms", Settings.StopNoticeMs));
+  Settings.LinkMegabitsPerSecond =
+      doubleField(Object, "link_mbit_per_s", Settings.LinkMegabitsPerSecond);
   if (const auto *Retries = Object.if_contains("retries")) {
     const auto &Limits = Retries->as_object();
     Settings.Retries.Ratio =
--- a/src/pomeloswitch/settings/entry_settings.hpp
+++ b/src/pomeloswitch/settings/entry_settings.hpp
@@ -33,6 +33,8 @@
   //! How long a stopping host still serves new callers after it has reported
   //! itself as not ready, so that the load balancer can take it out.
   std::uint32_t StopNoticeMs = 500;
+  //! What the host's link carries in one direction, 10^6 bit/s; 0: unknown.
+  double LinkMegabitsPerSecond = 0;
   retry_limits Retries;
   log_settings Log;
   std::string Adapter;   //!< The field "adapter" as JSON, or empty.
