An entry host holds a token ahead for each account in use

Cause: accounts whose rate is below 20/s for each entry host get single tokens, and a host asked for one only when a request waited for it, with a heartbeat that goes out 73 ms after the one before at the soonest with 73 hosts.

Change: the report asks for one token more than is needed now. The leader grants it only while half of the burst is left, and it comes back when no request follows for about a second.

Tests: quota_rules.next_request_of_a_small_account_finds_a_token and tokens_ahead_leave_half_of_the_burst_to_waiting_requests fail without spareTokens().

--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -165,9 +165,17 @@
   Report.Surplus = Surplus;
   Report.Wanted =
       std::max(0.0, Waiting + expectedShortfall(Report.Demand) - heldBurst());
+  Report.Spare = spareTokens(Report);
   return Report;
 }
 
+//! Without a share of the rate, the next request would wait for an answer of
+//! the leader. A token ahead is given back if none comes.
+double account_bucket::spareTokens(const account_report &Report) const {
+  const bool Covered = heldBurst() >= Waiting + 1;
+  return RatePerSecond > 0 || Report.Demand == 0 || Covered ? 0 : 1;
+}
+
 bool account_bucket::isIdle(time_point Now) {
   const std::lock_guard Lock(Mutex);
   update(Now);
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -63,6 +63,7 @@
 private:
   void update(time_point Now);
   [[nodiscard]] double expectedShortfall(double DemandNow) const;
+  [[nodiscard]] double spareTokens(const account_report &Report) const;
   void giveBackUnused(double DemandNow);
   bool take(time_point Now);
 
--- a/src/pomeloswitch/admission/account_ledger.cpp
+++ b/src/pomeloswitch/admission/account_ledger.cpp
@@ -19,6 +19,10 @@
 //! host, and rate that one host leaves unused would be missing at the others.
 constexpr double MinShareRate = 20;
 
+//! Fraction of the burst that is kept for requests that wait; spare tokens are
+//! handed out beyond it.
+constexpr double MinCentralFraction = 0.5;
+
 //! Time for which a computed share rule is reused; computing one visits every
 //! host.
 constexpr milliseconds RuleInterval{20};
@@ -119,6 +123,7 @@
   }
   Holding.Demand = Report.Demand;
   Holding.Wanted = Report.Wanted;
+  Holding.Spare = Report.Spare;
   CentralTokens += Returned + Unused;
   Holding.SurplusSeen = Report.Surplus;
   clampCentral();
@@ -220,10 +225,14 @@
   clampCentral();
   const double GrantedTokens =
       std::min(Holding.Wanted, std::floor(CentralTokens));
-  CentralTokens -= GrantedTokens;
+  const double SpareTokens = CentralTokens - GrantedTokens - Holding.Spare >=
+                                     Burst * MinCentralFraction
+                                 ? std::floor(Holding.Spare)
+                                 : 0;
+  CentralTokens -= GrantedTokens + SpareTokens;
   {
     const change_guard Guard(Leased, Holding);
-    Holding.BurstTotal += GrantedTokens;
+    Holding.BurstTotal += GrantedTokens + SpareTokens;
   }
   account_grant Grant;
   Grant.Account = Account;
@@ -234,6 +243,7 @@
   Grant.SurplusSeen = Holding.SurplusSeen;
   Grant.Exhausted = GrantedTokens < std::floor(Holding.Wanted);
   Holding.Wanted = 0;
+  Holding.Spare = 0;
   return Grant;
 }
 
--- a/src/pomeloswitch/admission/account_ledger.hpp
+++ b/src/pomeloswitch/admission/account_ledger.hpp
@@ -87,6 +87,7 @@
     double SurplusSeen = 0;
     double Demand = 0;
     double Wanted = 0;
+    double Spare = 0;
 
     [[nodiscard]] double rateBound() const;
     //! Upper bound on unused rate at the host and in transit to the leader.
--- a/src/pomeloswitch/admission/account_quota.hpp
+++ b/src/pomeloswitch/admission/account_quota.hpp
@@ -22,6 +22,7 @@
   double Surplus = 0;        //!< Unused rate returned in the epoch.
   double Demand = 0;         //!< Requests that arrive per second.
   double Wanted = 0;         //!< Burst tokens needed soon.
+  double Spare = 0;          //!< More of them, for requests to come.
 };
 
 //! Quota report of an entry host, sent with its heartbeat.
--- a/src/pomeloswitch/admission/quota_codec.cpp
+++ b/src/pomeloswitch/admission/quota_codec.cpp
@@ -21,6 +21,7 @@
     Each->set_surplus(Account.Surplus);
     Each->set_demand(Account.Demand);
     Each->set_wanted(Account.Wanted);
+    Each->set_spare(Account.Spare);
   }
 }
 
@@ -33,10 +34,10 @@
     Report.EarlierAnswerAge =
         std::chrono::milliseconds(Message.earlier_answer_age_ms());
   for (const wire::account_report &Each : Message.accounts())
-    Report.Accounts.push_back({Each.account(), Each.grant_id(),
-                               Each.rate_per_s(), Each.depth(),
-                               Each.burst_spent(), Each.burst_returned(),
-                               Each.surplus(), Each.demand(), Each.wanted()});
+    Report.Accounts.push_back(
+        {Each.account(), Each.grant_id(), Each.rate_per_s(), Each.depth(),
+         Each.burst_spent(), Each.burst_returned(), Each.surplus(),
+         Each.demand(), Each.wanted(), Each.spare()});
   return Report;
 }
 
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -125,6 +125,40 @@
   EXPECT_EQ(Ledger.find("acc")->stored(), Burst);
 }
 
+//! Guards against a wait of each request for an answer of the leader.
+TEST_F(quota_rules, next_request_of_a_small_account_finds_a_token) {
+  registerHosts(100);
+  Now += seconds(1);
+  exchange("a", A);
+  ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
+  ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+  exchange("a", A);
+  ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
+  A.bucket("acc").endWait();
+  for (unsigned Request = 0; Request < 5; ++Request) {
+    Now += milliseconds(200);
+    exchange("a", A);
+    Now += milliseconds(200);
+    EXPECT_TRUE(A.bucket("acc").admitArrival(Now)) << Request;
+  }
+}
+
+TEST_F(quota_rules, tokens_ahead_leave_half_of_the_burst_to_waiting_requests) {
+  registerHosts(100);
+  account_bucket &Bucket = A.bucket("acc");
+  const auto TokensForOneWaitingRequest = [&] {
+    Now += milliseconds(400);
+    Bucket.admitArrival(Now);
+    EXPECT_TRUE(Bucket.beginWait(Now, milliseconds(100)));
+    Now += milliseconds(50);
+    exchange("a", A);
+    Bucket.endWait();
+    return drain(A);
+  };
+  EXPECT_EQ(TokensForOneWaitingRequest(), 1U);
+  EXPECT_EQ(TokensForOneWaitingRequest(), 2U);
+}
+
 TEST_F(quota_rules, rate_of_a_silent_host_is_free_once_its_lease_surely_ended) {
   exchange("b", B);
   occupy("a", A);
