Bodies of responses take turns on the link as well

Large responses were written to callers in pieces of up to 64 KiB, the same class as bodies of requests. After the first piece of a response each further one waits for the link.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -389,7 +389,7 @@
                                               target_dispatch &Dispatch) {
   CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
   response_relay Relay(Caller, *Connection, Dispatch.response(),
-                       Context.Dialect, Plan.Deadline);
+                       Context.Dialect, Context.Sending.Link, Plan.Deadline);
   if (Claim.ownsClaim())
     Relay.enableCopy();
   co_await Relay.run(CallerKeepAlive);
--- a/src/pomeloswitch/http/response_relay.cpp
+++ b/src/pomeloswitch/http/response_relay.cpp
@@ -1,5 +1,7 @@
 #include "pomeloswitch/http/response_relay.hpp"
 
+#include "pomeloswitch/http/link_turn.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -31,10 +33,10 @@
 response_relay::response_relay(boost::beast::tcp_stream &Caller,
                                upstream_connection &Connection,
                                response_stream_parser &Response,
-                               const target_dialect &Dialect,
+                               const target_dialect &Dialect, link_pacer &Link,
                                steady_time Deadline)
     : Caller(Caller), Connection(Connection), Response(Response),
-      Dialect(Dialect), Deadline(Deadline) {
+      Dialect(Dialect), Link(Link), Deadline(Deadline) {
   Connection.Stream.expires_at(Deadline);
 }
 
@@ -86,7 +88,7 @@
   // The stream's own timeout does not end a read that finds input waiting.
   if (std::chrono::steady_clock::now() >= Deadline)
     throw boost::system::system_error(boost::beast::error::timeout);
-  Chunk.resize(RelayChunkBytes);
+  Chunk.resize(std::min(RelayChunkBytes, Link.pieceBytes()));
   Response.get().body().data = Chunk.data();
   Response.get().body().size = Chunk.size();
   error_code Error;
@@ -105,6 +107,9 @@
   const bool Last = Response.is_done();
   if (CallerDisconnected || (Piece.empty() && !Last))
     co_return;
+  RelayedBytes += Piece.size();
+  if (RelayedBytes > Link.pieceBytes())
+    co_await awaitLink(Link, Piece.size());
   Message.body().data = Piece.empty() ? nullptr : Piece.data();
   Message.body().size = Piece.size();
   Message.body().more = !Last;
--- a/src/pomeloswitch/http/response_relay.hpp
+++ b/src/pomeloswitch/http/response_relay.hpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/http/stream_parsers.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
+#include "pomeloswitch/sending/link_pacer.hpp"
 #include "pomeloswitch/state/claim_table.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -24,7 +25,8 @@
   response_relay(boost::beast::tcp_stream &Caller,
                  upstream_connection &Connection,
                  response_stream_parser &Response,
-                 const target_dialect &Dialect, steady_time Deadline);
+                 const target_dialect &Dialect, link_pacer &Link,
+                 steady_time Deadline);
 
   //! Records a copy of the response for later requests with the same
   //! Idempotency-Key. The response is then read to its end even if the caller
@@ -62,6 +64,8 @@
   upstream_connection &Connection;
   response_stream_parser &Response;
   const target_dialect &Dialect;
+  link_pacer &Link;
+  std::size_t RelayedBytes = 0; //!< Of the body.
   steady_time Deadline;
   std::vector<char> Chunk;
   std::optional<kept_answer> Copy;
--- a/tests/http/scripted_target.hpp
+++ b/tests/http/scripted_target.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -37,6 +38,17 @@
     Received.erase(0, Count);
     return Target;
   }
+  //! Reads the first \p Bytes of a request's body, or what comes of them.
+  std::string readBody(std::size_t Bytes) {
+    boost::system::error_code Error;
+    if (Received.size() < Bytes)
+      boost::asio::read(Socket, boost::asio::dynamic_buffer(Received),
+                        boost::asio::transfer_exactly(Bytes - Received.size()),
+                        Error);
+    std::string Body = Received.substr(0, Bytes);
+    Received.erase(0, Bytes);
+    return Body;
+  }
   void write(const std::string &Text) {
     boost::system::error_code Ignored;
     boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -94,6 +94,12 @@
   }
   //! Ends the host's lease, as if it had lost contact.
   void endLease() { RoutingLease.extendTo(lease_clock::now()); }
+  //! Makes the host's link known.
+  void useLink(double BytesPerSecond) {
+    boost::asio::post(Io, [this, BytesPerSecond] {
+      Context.Sending.Link = link_pacer(BytesPerSecond);
+    });
+  }
   //! Publishes a routing view that \p Change has modified.
   void changeView(std::function<void(routing_view &)> Change) {
     boost::asio::post(Io, [this, Change = std::move(Change)] {
