--- a/tests/settings/entry_settings_test.cpp
+++ b/tests/settings/entry_settings_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <limits>
 
 namespace pomelo {
 namespace {
@@ -66,6 +67,13 @@
         bad_field{"host_id", 7, "host_id"},
         bad_field{"traffic_threads", 0, "traffic_threads"},
         bad_field{"caller_address", "localhost", "caller_address"},
+        bad_field{"caller_address", boost::json::string(100000, '1'),
+                  "caller_address"},
+        bad_field{"traffic_threads", 1e308, "traffic_threads"},
+        bad_field{"traffic_threads", -1, "traffic_threads"},
+        bad_field{"traffic_threads", 1.5, "traffic_threads"},
+        bad_field{"traffic_threads", std::numeric_limits<std::uint64_t>::max(),
+                  "traffic_threads"},
         bad_field{"control_hosts", boost::json::array{}, "control_hosts"},
         bad_field{"control_hosts",
                   boost::json::array{boost::json::object{{"id", "c1"}}},
@@ -73,9 +81,18 @@
         bad_field{"cluster_secret_file", "/nowhere/secret",
                   "/nowhere/secret"}));
 
-TEST(entry_settings, a_document_that_is_not_json_is_refused) {
-  EXPECT_THROW(parseEntrySettings("{"), pomelo_error);
+class unreadable_entry_settings : public testing::TestWithParam<std::string> {};
+
+TEST_P(unreadable_entry_settings, are_refused) {
+  EXPECT_THROW(parseEntrySettings(GetParam()), pomelo_error);
 }
 
+INSTANTIATE_TEST_SUITE_P(each, unreadable_entry_settings,
+                         testing::Values("", "{", "[]", "{\"host_id\": 1e999}",
+                                         "{\"host_id\": \"\xff\"}",
+                                         "{\"host_id\": " +
+                                             std::string(10000, '[') +
+                                             std::string(10000, ']') + "}"));
+
 } // namespace
 } // namespace pomelo
