Settings: a port above 65535 is refused where it is read

What callers saw: settings with the address 127.0.0.1:99999 were accepted by the reader, and refused only when the address was used.

Evidence: bad_entry_settings, caller_address "127.0.0.1:99999": "accepted" before; now refused with the path of the field.

Why it works: the schema's pattern for addresses names the ports that exist.

--- a/src/pomeloswitch/settings/common_settings.cpp
+++ b/src/pomeloswitch/settings/common_settings.cpp
@@ -21,7 +21,7 @@
 
 const std::string_view CommonDefinitions = R"json(
   "name": {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9_.:-]{0,63}$"},
-  "address": {"type": "string", "pattern": "^[0-9a-fA-F.:\\[\\]]{1,64}:[0-9]{1,5}$"},
+  "address": {"type": "string", "pattern": "^[0-9a-fA-F.:\\[\\]]{1,64}:(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[0-5]?[0-9]{1,4})$"},
   "log": {
     "type": "object", "additionalProperties": false,
     "properties": {
--- a/tests/settings/entry_settings_test.cpp
+++ b/tests/settings/entry_settings_test.cpp
@@ -67,6 +67,7 @@
         bad_field{"host_id", 7, "host_id"},
         bad_field{"traffic_threads", 0, "traffic_threads"},
         bad_field{"caller_address", "localhost", "caller_address"},
+        bad_field{"caller_address", "127.0.0.1:99999", "caller_address"},
         bad_field{"caller_address", boost::json::string(100000, '1'),
                   "caller_address"},
         bad_field{"traffic_threads", 1e308, "traffic_threads"},
