A command that cannot be read ends no host that applies it

What callers saw: one odd report of a target (an id with bytes that are not UTF-8 in its path), or one evacuation of a failure domain named so, and the control hosts end again and again, while the entry hosts stop following the state.

Cause: text fields of the inner protocol are written whatever they hold, but not read if they are not UTF-8. So the leader appended a command that no host can read: applying it threw in every control host, after each start again, and closed the link of every entry host, which asked for the same entry again.

Why it works: proposeChange() refuses a command that cannot be read back, so none is appended; one that is in a log all the same is logged as an error and applied as a command without a body, at the same index on every host.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
+#include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch/state/configuration_packing.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -192,10 +193,7 @@
 
 void control_host::onCommitted(const committed_entry &Entry) {
   const activity_meter::timer Timer(Activity, ApplyCommit);
-  wire::command Command;
-  if (!Command.ParseFromString(Entry.Command))
-    throw pomelo_error(error_kind::StorageFailed,
-                       "cannot parse a committed command");
+  const wire::command Command = readCommitted(Entry.Index, Entry.Command);
   const apply_result &Result = Results[Entry.Index] =
       State.apply(Entry.Index, Command);
   logDecision(Command, Result, Entry.Index);
@@ -235,15 +233,19 @@
   Command.set_time_ms(unixNowMs());
   if (Command.has_replace_configuration())
     packConfiguration(*Command.mutable_replace_configuration());
-  Log->propose(
-      Command.SerializeAsString(),
-      [this, Done = std::move(Done)](const proposal_outcome &Outcome) {
-        if (Outcome.Failure)
-          return Done({Outcome.Failure, 0, "the change was not committed"}, 0);
-        const auto Result = Results.find(Outcome.Index);
-        Done(Result == Results.end() ? apply_result() : Result->second,
-             Outcome.Index);
-      });
+  std::string Bytes = Command.SerializeAsString();
+  if (!isReadableCommand(Bytes)) {
+    Logger.warn("Refused a change whose text is not UTF-8.");
+    return Done({error_kind::InvalidChange, 0, "a text is not UTF-8"}, 0);
+  }
+  Log->propose(std::move(Bytes), [this, Done = std::move(Done)](
+                                     const proposal_outcome &Outcome) {
+    if (Outcome.Failure)
+      return Done({Outcome.Failure, 0, "the change was not committed"}, 0);
+    const auto Result = Results.find(Outcome.Index);
+    Done(Result == Results.end() ? apply_result() : Result->second,
+         Outcome.Index);
+  });
 }
 
 void control_host::onMessage(const std::shared_ptr<peer_link> &Link,
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/entry/control_session.hpp"
 
+#include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch/wire/packing.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -188,11 +189,7 @@
       continue;
     if (Entry.index() != State.index() + 1)
       return subscribe(Host);
-    wire::command Command;
-    if (!Command.ParseFromString(Entry.command()))
-      throw pomelo_error(error_kind::Internal,
-                         "cannot parse a committed command");
-    State.apply(Entry.index(), Command);
+    State.apply(Entry.index(), readCommitted(Entry.index(), Entry.command()));
   }
   if (State.index() == Before)
     return;
