Platform: numbers that are not finite are no numbers

What callers saw: nothing observed; found by a table of odd header fields. A target's X-Server-Load of "nan,0,8", "inf,0,8", "-1,0,8" or "1e308,1e308,8" was taken for its load, so that its score could become infinite or not a number, which no comparison orders. A caller's X-Deadline-Milliseconds of "nan" passed the range check and was converted to an integer, which is undefined.

Cause: std::from_chars reads "nan" and "inf", and a comparison with either bound of a range is false for the former.

--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -136,6 +136,33 @@
   EXPECT_FALSE(platform_dialect().parseMetadata(Header, "").Load);
 }
 
+class odd_load : public testing::TestWithParam<std::string> {};
+
+TEST_P(odd_load, is_no_load) {
+  EXPECT_FALSE(factsOf(200, {{"X-Server-Load", GetParam()}}).Load);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, odd_load,
+                         testing::Values("", "nan,0,8", "0,nan,8", "0,0,nan",
+                                         "0,0,8,nan", "inf,0,8", "0,inf,8",
+                                         "0,0,inf", "0,0,8,inf", "-1,0,8",
+                                         "0,-1,8", "0,0,-8", "0,0,8,-100",
+                                         "1e308,1e308,8", "1e999,0,8", "1,0",
+                                         "\xff,0,8"));
+
+class odd_time_left : public testing::TestWithParam<std::string> {};
+
+TEST_P(odd_time_left, names_no_time) {
+  request_header Header = makeCallerHeader();
+  Header.set("X-Deadline-Milliseconds", GetParam());
+  EXPECT_EQ(platform_dialect().timeoutOf(Header), std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, odd_time_left,
+                         testing::Values("", "nan", "-nan", "inf", "-1",
+                                         "1e308", "1e999",
+                                         "18446744073709551616", "1,5", "+1"));
+
 struct notice_case {
   std::string Name;
   unsigned Status = 503;
