An odd report names no target

"10.0.0.1:08080" and "10.0.0.1:8080" counted as different addresses.

The address is checked and brought to one form in one place, for the product's own interface too.

--- a/src/pomeloswitch/entry/announce_api.cpp
+++ b/src/pomeloswitch/entry/announce_api.cpp
@@ -3,6 +3,7 @@
 #include "pomeloswitch/entry/control_session.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/settings/common_settings.hpp"
+#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch/wire/secret_hash.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -96,7 +97,7 @@
       static_cast<std::uint64_t>(integerField(Object, "incarnation", 0)));
   Target->set_service(ServiceName);
   Target->set_failure_domain(stringField(Object, "failure_domain"));
-  Target->set_address(stringField(Object, "address"));
+  Target->set_address(canonicalTargetAddress(stringField(Object, "address")));
   Target->set_slots(
       static_cast<std::uint32_t>(integerField(Object, "slots", 1)));
   Target->set_connections(
@@ -109,7 +110,6 @@
       static_cast<std::uint64_t>(integerField(Object, "settled_index", 0)));
   if (!Inventory.findFailureDomain(Target->failure_domain()))
     refuseDocument(Kind, "failure_domain", "not in the inventory");
-  parseEndpoint(Target->address());
   return Report;
 }
 
--- a/src/pomeloswitch/state/target_codec.cpp
+++ b/src/pomeloswitch/state/target_codec.cpp
@@ -1,7 +1,11 @@
 #include "pomeloswitch/state/target_codec.hpp"
 
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/wire/peer_link.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
+#include <fmt/format.h>
+
 namespace pomelo {
 
 target_member toMember(const wire::target_joined &Joined) {
@@ -36,4 +40,18 @@
   return Joined;
 }
 
+std::string canonicalTargetAddress(std::string_view Text) {
+  boost::asio::ip::tcp::endpoint Address;
+  try {
+    Address = parseEndpoint(Text);
+  } catch (const pomelo_error &Failure) {
+    throw pomelo_error(error_kind::BadRequest, Failure.what());
+  }
+  if (Address.port() == 0 || Address.address().is_unspecified())
+    throw pomelo_error(
+        error_kind::BadRequest,
+        fmt::format("\"{}\" is no address to call a target at", Text));
+  return toString(Address);
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/wire/peer_link.cpp
+++ b/src/pomeloswitch/wire/peer_link.cpp
@@ -235,7 +235,9 @@
   unsigned Port = 0;
   error_code Error;
   boost::asio::ip::address Ip;
-  bool Valid = Colon != std::string_view::npos;
+  // make_address() would ignore what follows a zero byte.
+  bool Valid = Colon != std::string_view::npos &&
+               Text.find('\0') == std::string_view::npos;
   if (Valid) {
     const std::string_view Digits = Text.substr(Colon + 1);
     const auto [End, Failure] =
