A target without a usable address no longer stops the routing

Cause: makeRoutingView() parsed each address and let the exception pass, out of the handler that had already applied the entries.

Why it works: such a target is left out with a log line; whoever looks up a target handles one that is missing.

--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -1,18 +1,39 @@
 #include "pomeloswitch/routing/routing_view.hpp"
 
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace pomelo {
 namespace {
 
+//! Returns where to call \p Member, or std::nullopt if its address cannot be
+//! used: another version or writer may have brought it into the state.
+std::optional<boost::asio::ip::tcp::endpoint>
+usableAddress(const target_member &Member) {
+  try {
+    return parseEndpoint(canonicalTargetAddress(Member.Address));
+  } catch (const pomelo_error &Failure) {
+    component_logger("routing").warn("Target {} is left out: {}.",
+                                     Member.TargetId, Failure.what());
+    return std::nullopt;
+  }
+}
+
+//! Returns null if the target cannot be called.
 routing_target_ptr makeTarget(const cluster_state &State,
                               const target_member &Member,
                               std::size_t Threads) {
+  const auto Address = usableAddress(Member);
+  if (!Address)
+    return nullptr;
   auto Target = std::make_shared<routing_target>();
   Target->Member = Member;
-  Target->Address = parseEndpoint(Member.Address);
+  Target->Address = *Address;
   Target->AcceptsNewWork = !Member.Leaving && !State.drainedByOperators(Member);
   const auto Hosts = std::max<std::size_t>(1, State.entryHosts().size());
   const auto TotalThreads = Hosts * std::max<std::size_t>(1, Threads);
@@ -59,6 +80,8 @@
         Service.Key,  Service.ColdRatePerSecond};
   for (const auto &[Id, Member] : State.targets()) {
     auto Target = makeTarget(State, Member, Threads);
+    if (!Target)
+      continue;
     const auto Service = View->Services.find(Member.Service);
     if (Service != View->Services.end())
       Service->second.Targets.push_back(Target);
--- a/tests/routing/routing_view_test.cpp
+++ b/tests/routing/routing_view_test.cpp
@@ -34,6 +34,26 @@
   EXPECT_LE(Share * Case.Threads * Case.Hosts, Target.Connections);
 }
 
+class unusable_address : public testing::TestWithParam<std::string> {};
+
+TEST_P(unusable_address, names_no_target_while_the_others_hold) {
+  test_cluster Driven;
+  Driven.setInventory(testInventory(4));
+  target_member Odd = testTarget("odd", 1, true, 1);
+  Odd.Address = GetParam();
+  Driven.joinTarget(Odd);
+  Driven.joinTarget(testTarget("t1", 1, true, 4001));
+  const auto View = makeRoutingView(Driven.State, 1);
+  EXPECT_EQ(View->Targets.count("odd"), 0U);
+  EXPECT_EQ(View->Targets.count("t1"), 1U);
+  EXPECT_EQ(View->findService("archive")->Targets.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, unusable_address,
+                         testing::Values("", "host:1", "127.0.0.1",
+                                         "127.0.0.1:0", "127.0.0.1:99999",
+                                         "127.0.0.1:-1", "[::1]:80"));
+
 INSTANTIATE_TEST_SUITE_P(each_size, connection_share,
                          testing::Values(share_case{"alone", 1, 1, 130},
                                          share_case{"two_threads", 1, 2, 65},
