Tests: odd announcements to whole processes

Nine more rows of announcements that are refused and make no member; each also checks that the entry host runs on and serves. The rows were not run against the code before the fixes.

--- a/tests/integration/bad_input_test.cpp
+++ b/tests/integration/bad_input_test.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <limits>
 
 namespace pomelo::emulator {
 namespace {
@@ -230,6 +231,8 @@
             GetParam().Body});
   EXPECT_EQ(Answer.Status, GetParam().Status) << Answer.Body;
   EXPECT_EQ(Deployment->status().at("targets").as_array().size(), 1U);
+  EXPECT_TRUE(Entry.Process->running());
+  expectServing();
 }
 
 std::string announcement(const boost::json::object &Changes) {
@@ -242,6 +245,9 @@
   return boost::json::serialize(Body);
 }
 
+const boost::json::string LongAddress(100000, '1');
+constexpr auto Max64 = std::numeric_limits<std::uint64_t>::max();
+
 INSTANTIATE_TEST_SUITE_P(
     each_kind, forged,
     testing::Values(
@@ -252,6 +258,27 @@
                             announcement({{"failure_domain", "z"}}), 400},
         forged_announcement{"address", std::string(TargetCredential),
                             announcement({{"address", "nowhere:1"}}), 400},
+        forged_announcement{"long_address", std::string(TargetCredential),
+                            announcement({{"address", LongAddress}}), 400},
+        forged_announcement{"port_0", std::string(TargetCredential),
+                            announcement({{"address", "127.0.0.1:0"}}), 400},
+        forged_announcement{"port_99999", std::string(TargetCredential),
+                            announcement({{"address", "127.0.0.1:99999"}}),
+                            400},
+        forged_announcement{"slots_1e308", std::string(TargetCredential),
+                            announcement({{"slots", 1e308}}), 400},
+        forged_announcement{"slots_fraction", std::string(TargetCredential),
+                            announcement({{"slots", 1.5}}), 400},
+        forged_announcement{"slots_negative", std::string(TargetCredential),
+                            announcement({{"slots", -1}}), 400},
+        forged_announcement{"incarnation_above_63_bits",
+                            std::string(TargetCredential),
+                            announcement({{"incarnation", Max64}}), 400},
+        forged_announcement{"nested_10000", std::string(TargetCredential),
+                            std::string(10000, '[') + std::string(10000, ']'),
+                            400},
+        forged_announcement{"not_utf_8", std::string(TargetCredential),
+                            "{\"target_id\": \"\xff\"}", 400},
         forged_announcement{"unknown_field", std::string(TargetCredential),
                             announcement({{"owner", true}}), 400},
         forged_announcement{"not_json", std::string(TargetCredential), "{",
