--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/entry/control_session.hpp"
 
+#include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch/state/configuration_difference.hpp"
 #include "pomeloswitch/wire/packing.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
@@ -206,10 +207,7 @@
       continue;
     if (Entry.index() != State.index() + 1)
       return subscribe(Host);
-    wire::command Command;
-    if (!Command.ParseFromString(Entry.command()))
-      throw pomelo_error(error_kind::Internal,
-                         "cannot parse a committed command");
+    wire::command Command = readCommitted(Entry.index(), Entry.command());
     if (!restoreConfiguration(Command))
       return subscribe(Host);
     State.apply(Entry.index(), Command);
