Storage: what is loaded is written to new files before it is told

What callers could see: after a failed sync and a new start, a control host could forget a vote or entries that it had told others of.

Cause: load() made the segment durable by a second sync of the same file. After a failed sync the kernel may count pages as clean that never reached the disk; the second sync then succeeds. replaceFileDurably() used a ".tmp" file of a failed attempt again likewise.

Evidence: lost_power now also plays failing syncs that drop what was written (80 more cases).

Errors that may pass (full disk, I/O, ...) are storage_refused.

Tests changed: a_failed_write_or_sync_is_reported counts one write and one sync more, as loading now writes a file; it expects the same. lost_power ends processes within 20 syncs, not 14, because a start has more of them.

--- a/src/pomeloswitch/raft/file_io.cpp
+++ b/src/pomeloswitch/raft/file_io.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -16,12 +18,28 @@
 
 constexpr int FileMode = 0600;
 
+//! A later call may succeed without any change to the data folder.
+constexpr std::array PassingErrors{ENOSPC, EDQUOT, EIO, ENOMEM, EMFILE, ENFILE};
+
 } // namespace
 
 void throwErrno(std::string_view Action, std::string_view Path) {
-  throw pomelo_error(
-      error_kind::StorageFailed,
-      fmt::format("{} {}: {}", Action, Path, std::strerror(errno)));
+  const int Error = errno;
+  const std::string Reason =
+      fmt::format("{} {}: {}", Action, Path, std::strerror(Error));
+  if (std::find(PassingErrors.begin(), PassingErrors.end(), Error) !=
+      PassingErrors.end())
+    throw storage_refused(Reason);
+  throw pomelo_error(error_kind::StorageFailed, Reason);
+}
+
+file_handle file_io::open(const std::string &Path, int Flags) {
+  return {Path, Flags};
+}
+
+void file_io::rename(const std::string &From, const std::string &To) {
+  if (::rename(From.c_str(), To.c_str()) != 0)
+    throwErrno("cannot rename", From);
 }
 
 void file_io::write(int File, std::string_view Bytes) {
@@ -64,18 +82,22 @@
 void replaceFileDurably(file_io &FileIo, const std::string &Path,
                         std::string_view Bytes) {
   const std::string TemporaryPath = Path + ".tmp";
+  // A file left by a failed attempt is not used again: its pages may count as
+  // clean although they never reached the disk.
+  if (::unlink(TemporaryPath.c_str()) != 0 && errno != ENOENT)
+    throwErrno("cannot remove", TemporaryPath);
   {
-    const file_handle File(TemporaryPath, O_WRONLY | O_CREAT | O_TRUNC);
+    const file_handle File =
+        FileIo.open(TemporaryPath, O_WRONLY | O_CREAT | O_EXCL);
     FileIo.write(File.get(), Bytes);
     FileIo.sync(File.get());
   }
-  if (::rename(TemporaryPath.c_str(), Path.c_str()) != 0)
-    throwErrno("cannot rename", TemporaryPath);
+  FileIo.rename(TemporaryPath, Path);
   syncFolder(FileIo, std::filesystem::path(Path).parent_path().string());
 }
 
 void syncFolder(file_io &FileIo, const std::string &Path) {
-  const file_handle Folder(Path, O_RDONLY | O_DIRECTORY);
+  const file_handle Folder = FileIo.open(Path, O_RDONLY | O_DIRECTORY);
   FileIo.sync(Folder.get());
 }
 
--- a/src/pomeloswitch/raft/file_io.hpp
+++ b/src/pomeloswitch/raft/file_io.hpp
@@ -3,21 +3,18 @@
 #ifndef POMELOSWITCH_RAFT_FILE_IO_HPP
 #define POMELOSWITCH_RAFT_FILE_IO_HPP
 
+#include "pomeloswitch/errors/error_kind.hpp"
+
 #include <string>
 #include <string_view>
 
 namespace pomelo {
 
-//! Writes and syncs open file descriptors.
-class file_io {
+//! StorageFailed for a reason that may pass, such as a full disk.
+class storage_refused final : public pomelo_error {
 public:
-  virtual ~file_io() = default;
-
-  //! Writes all of \p Bytes. \throws pomelo_error StorageFailed.
-  virtual void write(int File, std::string_view Bytes);
-  //! Blocks until all data written to \p File is durable. \throws pomelo_error
-  //! StorageFailed.
-  virtual void sync(int File);
+  explicit storage_refused(const std::string &Message)
+      : pomelo_error(error_kind::StorageFailed, Message) {}
 };
 
 //! Owns a file descriptor and closes it on destruction.
@@ -36,7 +33,24 @@
   int Descriptor = -1;
 };
 
-//! Throws StorageFailed with \p Action, \p Path and the message for errno.
+//! Opens, renames, writes and syncs files.
+class file_io {
+public:
+  virtual ~file_io() = default;
+
+  //! \throws pomelo_error StorageFailed if \p Path cannot be opened.
+  virtual file_handle open(const std::string &Path, int Flags);
+  //! \throws pomelo_error StorageFailed.
+  virtual void rename(const std::string &From, const std::string &To);
+  //! Writes all of \p Bytes. \throws pomelo_error StorageFailed.
+  virtual void write(int File, std::string_view Bytes);
+  //! Blocks until all data written to \p File is durable. \throws pomelo_error
+  //! StorageFailed.
+  virtual void sync(int File);
+};
+
+//! Throws StorageFailed with \p Action, \p Path and the message for errno;
+//! storage_refused if the reason may pass.
 [[noreturn]] void throwErrno(std::string_view Action, std::string_view Path);
 
 //! Atomically replaces the content of the file \p Path: after a crash it has
--- a/src/pomeloswitch/raft/file_storage.cpp
+++ b/src/pomeloswitch/raft/file_storage.cpp
@@ -109,11 +109,13 @@
 
 //! Syncs the parent of a folder without an identity. An earlier process may
 //! have created the folder and ended before it had synced the parent. A parent
-//! that this process may not sync is assumed to be durable.
+//! that this process has no right to sync is assumed to be durable.
 void file_storage::syncParentAgain() {
   const auto Parent = std::filesystem::absolute(Folder).parent_path();
   try {
     syncFolder(*FileIo, Parent.string());
+  } catch (const storage_refused &) {
+    throw;
   } catch (const pomelo_error &Failure) {
     log().warn("The parent of the data folder was not synced: {}.",
                Failure.what());
@@ -122,7 +124,7 @@
 
 void file_storage::lockFolder() {
   const std::string Path = (Folder / "lock").string();
-  Lock = file_handle(Path, O_RDWR | O_CREAT);
+  Lock = FileIo->open(Path, O_RDWR | O_CREAT);
   if (::flock(Lock.get(), LOCK_EX | LOCK_NB) != 0)
     throwStorageFailed(
         fmt::format("{} is in use by another process", Folder.string()));
@@ -221,6 +223,7 @@
         fmt::format("{} is damaged at byte {}", Path, Scan.ValidBytes));
   stored_state Stored;
   Stored.Identity = Identity;
+  Stored.Founders = founders();
   for (const std::string_view Payload : Scan.Payloads) {
     wire::raft_record Record;
     if (!Record.ParseFromArray(Payload.data(),
@@ -236,20 +239,23 @@
   if (SnapshotIndex > 0)
     Stored.Snapshot = loadSnapshot(SnapshotIndex);
   NextSequence = Scan.NextSequence;
-  Segment = file_handle(Path, O_WRONLY | O_APPEND);
-  if (Scan.ValidBytes < Bytes.size()) {
-    log().warn("Truncated an incomplete record of {} bytes at the end of {}.",
+  if (Scan.ValidBytes < Bytes.size())
+    log().warn("Dropped an incomplete record of {} bytes at the end of {}.",
                Bytes.size() - Scan.ValidBytes, Path);
-    if (::ftruncate(Segment.get(), static_cast<off_t>(Scan.ValidBytes)) != 0)
-      throwErrno("cannot truncate", Path);
-  }
-  // The last record may come from a process that ended before its sync. What is
-  // returned here is told to other hosts, so it must survive a loss of power.
-  FileIo->sync(Segment.get());
-  removeOldFiles();
+  rewrite(Stored);
   return Stored;
 }
 
+//! Writes all that was read to new files. It is told to other hosts, so it must
+//! survive a loss of power, but its last record may never have been synced. To
+//! sync the old file is not enough: after a failed sync the kernel may count
+//! pages as clean that never reached the disk.
+void file_storage::rewrite(const stored_state &Stored) {
+  if (Stored.Snapshot)
+    saveSnapshot(*Stored.Snapshot);
+  beginSegment(Stored.Vote, Stored.Entries);
+}
+
 wire::raft_snapshot file_storage::loadSnapshot(std::uint64_t Index) const {
   const std::string Path = snapshotPath(Index);
   auto Snapshot = readSingleRecord<wire::raft_snapshot>(Path);
@@ -267,13 +273,23 @@
         encodeRecord(NextSequence++, Batch.Record.SerializeAsString()));
     return FileIo->sync(Segment.get());
   }
-  SnapshotIndex = Batch.Snapshot->index();
+  saveSnapshot(*Batch.Snapshot);
+  beginSegment(Batch.Record.vote(), Batch.EntriesAfterSnapshot);
+}
+
+void file_storage::saveSnapshot(const wire::raft_snapshot &Snapshot) {
+  SnapshotIndex = Snapshot.index();
   replaceFileDurably(*FileIo, snapshotPath(SnapshotIndex),
-                     encodeRecord(1, Batch.Snapshot->SerializeAsString()));
+                     encodeRecord(1, Snapshot.SerializeAsString()));
+}
+
+//! Starts the segment that takes the place of all older files.
+void file_storage::beginSegment(const wire::raft_vote &Vote,
+                                std::span<const wire::raft_entry> Entries) {
   wire::raft_record First;
-  *First.mutable_vote() = Batch.Record.vote();
+  *First.mutable_vote() = Vote;
   First.set_snapshot_index(SnapshotIndex);
-  for (const wire::raft_entry &Entry : Batch.EntriesAfterSnapshot)
+  for (const wire::raft_entry &Entry : Entries)
     *First.add_entries() = Entry;
   startSegment(First);
   removeOldFiles();
@@ -283,7 +299,7 @@
   const std::string Path = segmentPath(++SegmentNumber);
   replaceFileDurably(*FileIo, Path,
                      encodeRecord(NextSequence++, First.SerializeAsString()));
-  Segment = file_handle(Path, O_WRONLY | O_APPEND);
+  Segment = FileIo->open(Path, O_WRONLY | O_APPEND);
 }
 
 //! Ignores removal errors: a leftover file is never read, and the next start or
--- a/src/pomeloswitch/raft/file_storage.hpp
+++ b/src/pomeloswitch/raft/file_storage.hpp
@@ -16,6 +16,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace pomelo {
@@ -35,9 +36,9 @@
   //! later start may name other members, which may belong to no group.
   [[nodiscard]] std::vector<host_address> founders() const;
 
-  //! Reads the latest segment and its snapshot, truncates an incomplete record
-  //! at the end of the segment, and makes all that it returns durable. \throws
-  //! pomelo_error StorageFailed if a file is missing or damaged.
+  //! Reads the latest segment and its snapshot, except an incomplete record at
+  //! the end of the segment, and makes all that it returns durable in new
+  //! files. \throws pomelo_error StorageFailed if a file is missing or damaged.
   stored_state load() override;
   void write(const storage_batch &Batch) override;
 
@@ -53,6 +54,10 @@
   [[nodiscard]] std::string segmentPath(std::uint64_t Number) const;
   [[nodiscard]] std::string snapshotPath(std::uint64_t Index) const;
   wire::raft_snapshot loadSnapshot(std::uint64_t Index) const;
+  void rewrite(const stored_state &Stored);
+  void saveSnapshot(const wire::raft_snapshot &Snapshot);
+  void beginSegment(const wire::raft_vote &Vote,
+                    std::span<const wire::raft_entry> Entries);
   void startSegment(const wire::raft_record &First);
   void removeOldFiles();
 
--- a/src/pomeloswitch/raft/raft_types.hpp
+++ b/src/pomeloswitch/raft/raft_types.hpp
@@ -3,6 +3,7 @@
 #define POMELOSWITCH_RAFT_RAFT_TYPES_HPP
 
 #include "pomeloswitch/clock/lease_clock.hpp"
+#include "pomeloswitch/settings/common_settings.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <chrono>
@@ -53,6 +54,8 @@
   wire::raft_vote Vote;
   std::optional<wire::raft_snapshot> Snapshot;
   std::vector<wire::raft_entry> Entries; //!< Entries after the snapshot.
+  //! The hosts with which this one may found a group; empty if it may not.
+  std::vector<host_address> Founders;
 };
 
 //! The state that one sync makes durable: the snapshot first, then the record.
--- a/tests/raft/file_storage_test.cpp
+++ b/tests/raft/file_storage_test.cpp
@@ -284,12 +284,12 @@
   for (const bool WriteFails : {true, false}) {
     const fs::path Folder = createTestPath();
     // Creating a folder syncs its parent twice and writes two files, with two
-    // syncs each; loading adds one sync, the first batch one write and one
+    // syncs each; loading adds one file, the first batch one write and one
     // sync.
     file_storage Storage(
         Folder, "c1",
-        std::make_unique<failing_file_io>(WriteFails ? 3 : Unlimited,
-                                          WriteFails ? Unlimited : 8));
+        std::make_unique<failing_file_io>(WriteFails ? 4 : Unlimited,
+                                          WriteFails ? Unlimited : 9));
     Storage.load();
     Storage.write(entryBatch(1, 1));
     EXPECT_THROW(Storage.write(entryBatch(2, 1)), pomelo_error);
--- a/tests/raft/lost_power_test.cpp
+++ b/tests/raft/lost_power_test.cpp
@@ -39,11 +39,19 @@
     FolderDurable = true;
   }
 
+  //! From now on some syncs fail, and drop what was written since the last one.
+  void refuseSomeSyncs() { Refusing = true; }
+
   //! The process ends during the sync after \p Count further ones.
   void endProcessAfter(std::uint64_t Count) { SyncsLeft = Count; }
 
   void sync(int File) {
     const bool Ends = SyncsLeft-- == 0;
+    if (!Ends && Refusing && Random() % 8 == 0) {
+      Dropped.insert(statusOf(File).st_ino);
+      keepInode(fmt::format("/proc/self/fd/{}", File));
+      throw storage_refused("no space left on device");
+    }
     // The data may have reached the disk although the sync did not return.
     if (!Ends || Random() % 2 == 0)
       makeDurable(File);
@@ -100,6 +108,9 @@
   void makeDurable(int File) {
     const struct stat Status = statusOf(File);
     if (!S_ISDIR(Status.st_mode)) {
+      // Pages that a failed sync has dropped count as clean.
+      if (Dropped.contains(Status.st_ino))
+        return;
       Contents[Status.st_ino] =
           readBytes(fmt::format("/proc/self/fd/{}", File));
       return keepInode(fmt::format("/proc/self/fd/{}", File));
@@ -146,6 +157,7 @@
   void forget() {
     Names.clear();
     Contents.clear();
+    Dropped.clear();
     Open.clear();
   }
 
@@ -160,9 +172,11 @@
   fs::path Folder;
   std::mt19937_64 &Random;
   std::uint64_t SyncsLeft = 0;
+  bool Refusing = false;
   bool FolderDurable = false;
   std::map<std::string, ino_t> Names;    //!< Durable names.
   std::map<ino_t, std::string> Contents; //!< Durable contents.
+  std::set<ino_t> Dropped;               //!< Files of which a sync failed.
   std::vector<file_handle> Open;
 };
 
@@ -196,8 +210,9 @@
   std::uint64_t LastIndex = 0;
 };
 
-//! Whether the data folder exists before the first start, and a seed.
-using power_loss_parameters = std::tuple<bool, unsigned>;
+//! Whether the data folder exists before the first start, whether some syncs
+//! fail, and a seed.
+using power_loss_parameters = std::tuple<bool, bool, unsigned>;
 
 class lost_power : public testing::TestWithParam<power_loss_parameters> {
 protected:
@@ -206,12 +221,25 @@
     fs::create_directories(Parent);
     if (std::get<0>(GetParam()))
       Disk.createFolder();
+    if (std::get<1>(GetParam()))
+      Disk.refuseSomeSyncs();
   }
   void TearDown() override { fs::remove_all(Parent); }
 
   //! Runs a process on the folder until it ends in some sync.
   void live() {
-    Disk.endProcessAfter(Random() % 14);
+    Disk.endProcessAfter(Random() % 20);
+    try {
+      while (true)
+        useStorage();
+    } catch (const process_ended &) {
+    } catch (const pomelo_error &Failure) {
+      ADD_FAILURE() << Failure.what();
+    }
+  }
+
+  //! Uses a storage until it refuses something; another may be opened then.
+  void useStorage() {
     try {
       file_storage Storage(Folder, "c1",
                            std::make_unique<unreliable_file_io>(Disk),
@@ -220,9 +248,7 @@
       check(Storage.load());
       while (true)
         writeSomething(Storage);
-    } catch (const process_ended &) {
-    } catch (const pomelo_error &Failure) {
-      ADD_FAILURE() << Failure.what();
+    } catch (const storage_refused &) {
     }
   }
 
@@ -266,10 +292,11 @@
     Batch.EntriesAfterSnapshot = {entryAt(LastIndex)};
   }
 
-  std::mt19937_64 Random{std::get<1>(GetParam())};
-  fs::path Parent = fs::path(testing::TempDir()) /
-                    fmt::format("lost-power-{}-{}", std::get<0>(GetParam()),
-                                std::get<1>(GetParam()));
+  std::mt19937_64 Random{std::get<2>(GetParam())};
+  fs::path Parent =
+      fs::path(testing::TempDir()) /
+      fmt::format("lost-power-{}-{}-{}", std::get<0>(GetParam()),
+                  std::get<1>(GetParam()), std::get<2>(GetParam()));
   fs::path Folder = Parent / "data";
   unreliable_disk Disk{Folder, Random};
   told_state Told;
@@ -287,14 +314,15 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, lost_power,
-                         testing::Combine(testing::Bool(),
+                         testing::Combine(testing::Bool(), testing::Bool(),
                                           testing::Range(1U, 41U)),
                          [](const auto &Info) {
-                           return fmt::format("{}_seed_{}",
-                                              std::get<0>(Info.param)
-                                                  ? "given_folder"
-                                                  : "new_folder",
-                                              std::get<1>(Info.param));
+                           return fmt::format(
+                               "{}{}_seed_{}",
+                               std::get<0>(Info.param) ? "given_folder"
+                                                       : "new_folder",
+                               std::get<1>(Info.param) ? "_failing_syncs" : "",
+                               std::get<2>(Info.param));
                          });
 
 } // namespace
