Raft: a control host comes back by itself once its disk takes writes again

What callers saw: disks of the control hosts full for 3 s, one after another; from the second one on changes were refused or unanswered to the end, though all processes ran and all disks had room.

Cause: raft_log took the first failed write or sync for permanent ("no longer takes part") until a restart that nobody made. A start on a full disk ended the process.

Evidence: full_disk tests. With reopening disabled: keeps_a_host_out_only_ while_it_lasts/sync_leader "Group.changeUntil([&] { return Full.Log-> takesPart(); }) Actual: false", delays_the_first_start_of_a_host/sync_leader "Group.changes() Actual: false".

Fix: the host stops at once to acknowledge, vote and lead; proposals end as before (storage_failed). After a growing pause the folder is opened and loaded as by a new process: number of starts, run id, durable vote, follower. A start on a full disk waits the same way. A damaged folder still ends a starting process.

raft_log_test opens its storages by the function that raft_log now takes; its expectations are unchanged.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -455,6 +455,7 @@
   Metrics.setGauge("pomelo_links", {}, static_cast<double>(Sessions.size()));
   Metrics.setGauge("pomelo_state_index", {},
                    static_cast<double>(State.index()));
+  Metrics.setGauge("pomelo_control_takes_part", {}, Log->takesPart() ? 1 : 0);
   std::map<std::string, double> Roles{{"voter", 0}, {"learner", 0}};
   for (const control_member &Member : Log->members())
     ++Roles[Member.Voter ? "voter" : "learner"];
@@ -484,11 +485,14 @@
   Options.Address = Settings.PeerAddress;
   Options.Secret = Settings.ClusterSecret;
   Options.Members = Settings.Members;
-  auto Storage = std::make_unique<file_storage>(
-      Settings.DataFolder, Settings.HostId, std::make_unique<file_io>(),
-      Settings.MayFound ? Settings.Members : std::vector<host_address>());
-  Options.Founders = Storage->founders();
-  return std::make_unique<raft_log>(Io, std::move(Options), std::move(Storage));
+  const auto Founders =
+      Settings.MayFound ? Settings.Members : std::vector<host_address>();
+  return std::make_unique<raft_log>(
+      Io, std::move(Options),
+      [Folder = Settings.DataFolder, HostId = Settings.HostId, Founders] {
+        return std::make_unique<file_storage>(
+            Folder, HostId, std::make_unique<file_io>(), Founders);
+      });
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/raft/log_storage.hpp
+++ b/src/pomeloswitch/raft/log_storage.hpp
@@ -5,6 +5,8 @@
 
 #include "pomeloswitch/raft/raft_types.hpp"
 
+#include <functional>
+
 namespace pomelo {
 
 class log_storage {
@@ -17,10 +19,15 @@
 
   //! Blocks until \p Batch is durable.
   //! \throws pomelo_error StorageFailed; the storage must not be used
-  //! afterwards.
+  //! afterwards. Another one must be opened instead, because nothing is known
+  //! of what a failed write or sync left in the files.
   virtual void write(const storage_batch &Batch) = 0;
 };
 
+//! Opens the storage of a replica, as at the start of a process. The one opened
+//! before must no longer exist. \throws pomelo_error StorageFailed.
+using storage_opener = std::function<std::unique_ptr<log_storage>()>;
+
 } // namespace pomelo
 
 #endif
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -1,5 +1,7 @@
 #include "pomeloswitch/raft/raft_log.hpp"
 
+#include "pomeloswitch/raft/file_io.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 
@@ -13,65 +15,80 @@
 
 constexpr milliseconds TickInterval{10};
 constexpr milliseconds BootstrapInterval{100};
-
-raft_core::options coreOptions(const raft_log::options &Options,
-                               std::mt19937_64 &Random) {
-  raft_core::options Core;
-  Core.HostId = Options.HostId;
-  Core.FailureDomain = Options.FailureDomain;
-  Core.Address = Options.Address;
-  Core.KnownHosts = Options.Members;
-  Core.KnownHosts.insert(Core.KnownHosts.end(), Options.Founders.begin(),
-                         Options.Founders.end());
-  // The right is given to every host of the first start, but only the hosts
-  // named then found the group.
-  Core.MayFound = std::any_of(Options.Founders.begin(), Options.Founders.end(),
-                              [&](const host_address &Founder) {
-                                return Founder.Id == Options.HostId;
-                              });
-  Core.FirstStart = !Options.Founders.empty();
-  Core.RunId = Random();
-  Core.Times = Options.Times;
-  Core.Random = [&Random] { return Random(); };
-  return Core;
-}
+// Between attempts to open a storage that failed.
+constexpr milliseconds FirstPause{100};
+constexpr milliseconds LongestPause{2000};
 
 } // namespace
 
 raft_log::raft_log(boost::asio::io_context &Io, options GivenOptions,
-                   std::unique_ptr<log_storage> Storage)
+                   storage_opener OpenStorage)
     : Io(Io), Options(std::move(GivenOptions)), Random(std::random_device()()),
-      Core(coreOptions(Options, Random), Storage->load(), lease_clock::now()),
+      Core(coreOptions(), {}, lease_clock::now()),
       Bootstrap(Options.HostId, Options.Founders),
       Network(Io, Options.HostId, Options.Secret,
               [this](const wire::raft_message &Message) { receive(Message); }),
-      Worker(Io, std::move(Storage),
+      Worker(Io, std::move(OpenStorage),
              [this](const storage_batch &Batch,
                     const std::optional<std::string> &Failure) {
                onSynced(Batch, Failure);
              }),
-      Ticker(Io) {}
+      Ticker(Io), Reopening(Io), ReopenPause(FirstPause, LongestPause) {
+  try {
+    restore(Worker.open());
+  } catch (const storage_refused &Refusal) {
+    suspend(Refusal.what());
+  }
+}
+
+raft_core::options raft_log::coreOptions() {
+  raft_core::options CoreOptions;
+  CoreOptions.HostId = Options.HostId;
+  CoreOptions.FailureDomain = Options.FailureDomain;
+  CoreOptions.Address = Options.Address;
+  CoreOptions.KnownHosts = Options.Members;
+  CoreOptions.KnownHosts.insert(CoreOptions.KnownHosts.end(),
+                                Options.Founders.begin(),
+                                Options.Founders.end());
+  // The right is given to every host of the first start, but only the hosts
+  // named then found the group.
+  CoreOptions.MayFound =
+      std::any_of(Options.Founders.begin(), Options.Founders.end(),
+                  [&](const host_address &Founder) {
+                    return Founder.Id == Options.HostId;
+                  });
+  CoreOptions.FirstStart = !Options.Founders.empty();
+  CoreOptions.RunId = Random();
+  CoreOptions.Times = Options.Times;
+  CoreOptions.Random = [this] { return Random(); };
+  return CoreOptions;
+}
 
 void raft_log::start(applier NewApplier) {
   Applier = std::move(NewApplier);
   Log.info("Replica {} starts with last log index {} and term {}.",
            Core.identity().replica_id(), Core.log().lastIndex(), Core.term());
+  takePart();
+  tick();
+}
+
+void raft_log::takePart() {
   for (const auto &Known : {Options.Founders, Options.Members})
     for (const host_address &Member : Known)
       Network.connect(Member.Id, Member.Address);
   connectHosts();
   applyCommitted();
-  tick();
 }
 
 void raft_log::stop() {
   Stopped = true;
   Ticker.cancel();
+  Reopening.cancel();
   Network.stop();
 }
 
 void raft_log::propose(std::string Command, completion Done) {
-  if (Failed)
+  if (!takesPart())
     return Done({error_kind::StorageFailed, 0});
   const auto Index = Leading ? Core.propose(std::move(Command)) : std::nullopt;
   if (!Index)
@@ -82,12 +99,12 @@
 
 void raft_log::deliver(const std::shared_ptr<peer_link> &Link,
                        const wire::raft_message &Message) {
-  if (!Failed && !Stopped)
+  if (takesPart())
     Network.receive(Link, Message);
 }
 
 void raft_log::receive(const wire::raft_message &Message) {
-  if (Failed || Stopped)
+  if (!takesPart())
     return;
   if (Message.has_found_request())
     return onFoundRequest(Message);
@@ -142,10 +159,12 @@
     if (Error || Stopped || Failed)
       return;
     const raft_time Now = lease_clock::now();
-    bootstrapGroup(Now);
     Network.tick(Now);
-    Core.tick(Now);
-    advance();
+    if (!Suspended) {
+      bootstrapGroup(Now);
+      Core.tick(Now);
+      advance();
+    }
     tick();
   });
 }
@@ -162,7 +181,7 @@
 }
 
 void raft_log::advance() {
-  if (Failed || Stopped)
+  if (!takesPart())
     return;
   const raft_time Now = lease_clock::now();
   sendAll(Core.takeMessages(Now), Now);
@@ -192,10 +211,11 @@
 
 void raft_log::onSynced(const storage_batch &Batch,
                         const std::optional<std::string> &Failure) {
-  if (Failed || Stopped)
+  if (!takesPart())
     return;
   if (Failure)
-    return fail(*Failure);
+    return suspend(*Failure);
+  ReopenPause.reset();
   const raft_time Now = lease_clock::now();
   Core.synced(Batch, Now);
   sendAll(Batch.SendAfter, Now);
@@ -203,13 +223,22 @@
 }
 
 void raft_log::applyCommitted() {
+  // After the storage was opened anew, the core returns again what was applied
+  // before.
   if (const auto Snapshot = Core.takeSnapshotToInstall()) {
-    Applied = SnapshotIndex = Snapshot->index();
-    if (!Snapshot->state().empty())
-      Applier.OnSnapshot(Applied, Snapshot->state());
+    SnapshotIndex = Snapshot->index();
+    if (SnapshotIndex > Applied)
+      installSnapshot(*Snapshot);
   }
   for (const wire::raft_entry &Entry : Core.takeCommitted())
-    applyEntry(Entry);
+    if (Entry.index() > Applied)
+      applyEntry(Entry);
+}
+
+void raft_log::installSnapshot(const wire::raft_snapshot &Snapshot) {
+  Applied = Snapshot.index();
+  if (!Snapshot.state().empty())
+    Applier.OnSnapshot(Applied, Snapshot.state());
 }
 
 void raft_log::applyEntry(const wire::raft_entry &Entry) {
@@ -295,6 +324,9 @@
                           BytesSinceSnapshot >= Options.ReplayBytes;
   if ((!MemoryFull && !ReplayLong) || Applied < SnapshotIndex + 2)
     return;
+  // The applied state may be ahead of a log that was loaded anew.
+  if (Core.commitIndex() < Applied)
+    return;
   SnapshotIndex = Applied;
   BytesSinceSnapshot = 0;
   const std::uint64_t Retained = MemoryFull ? 0 : Options.RetainedEntries;
@@ -308,6 +340,10 @@
             Reason);
   Failed = true;
   Network.stop();
+  stopLeading();
+}
+
+void raft_log::stopLeading() {
   const bool WasLeader = std::exchange(Leading, false);
   failProposals(error_kind::StorageFailed);
   if (WasLeader)
@@ -320,16 +356,16 @@
 }
 
 bool raft_log::leadershipConfirmed() const {
-  return Leading && !Failed && LeaderTerm == Core.term() &&
+  return Leading && takesPart() && LeaderTerm == Core.term() &&
          Core.leadershipConfirmed(lease_clock::now());
 }
 
 std::string raft_log::leaderId() const {
-  return Failed ? std::string() : Core.leaderId();
+  return takesPart() ? Core.leaderId() : std::string();
 }
 
 bool raft_log::leaderReachable() const {
-  return !Failed && !Stopped && Core.followsLeader(lease_clock::now()) &&
+  return takesPart() && Core.followsLeader(lease_clock::now()) &&
          Network.connectedTo(Core.leaderId());
 }
 
@@ -337,15 +373,18 @@
   return leaderReachable() && Network.sendTo(Core.leaderId(), Message);
 }
 
-std::uint64_t raft_log::commitIndex() const { return Core.commitIndex(); }
+std::uint64_t raft_log::commitIndex() const {
+  return std::max(Core.commitIndex(), Applied);
+}
 
 std::optional<std::vector<committed_entry>>
 raft_log::entriesFrom(std::uint64_t First, std::size_t MaxBytes) const {
-  if (First < Core.log().firstIndex())
+  const std::uint64_t Last = std::min(Applied, Core.commitIndex());
+  if (First < Core.log().firstIndex() || (First > Last && First <= Applied))
     return std::nullopt;
   std::vector<committed_entry> Result;
   std::size_t Bytes = 0;
-  for (std::uint64_t Index = First; Index <= Applied && Bytes < MaxBytes;
+  for (std::uint64_t Index = First; Index <= Last && Bytes < MaxBytes;
        ++Index) {
     Result.push_back({Index, Core.log().at(Index).command()});
     Bytes += Result.back().Command.size();
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -5,6 +5,7 @@
 
 #include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/raft/group_bootstrap.hpp"
+#include "pomeloswitch/raft/growing_pause.hpp"
 #include "pomeloswitch/raft/log_storage.hpp"
 #include "pomeloswitch/raft/peer_network.hpp"
 #include "pomeloswitch/raft/raft_core.hpp"
@@ -32,7 +33,8 @@
     std::string Secret;
     std::vector<host_address> Members; //!< Addresses known from the start.
     //! The hosts that found the group together; empty if this host was not
-    //! started together with them. It need not be one of them.
+    //! started together with them. It need not be one of them. Those that the
+    //! storage names take their place.
     std::vector<host_address> Founders;
     raft_times Times;
     //! A snapshot is taken once this many entries, or bytes of entries, were
@@ -48,10 +50,11 @@
     std::uint64_t RetainedEntries = 2000;
   };
 
-  //! Loads the stored state. \throws pomelo_error StorageFailed if the data in
-  //! \p Storage is damaged.
+  //! Loads the stored state. If the disk refuses that for now, the host takes
+  //! part once it no longer does. \throws pomelo_error StorageFailed if the
+  //! stored data is damaged.
   raft_log(boost::asio::io_context &Io, options Options,
-           std::unique_ptr<log_storage> Storage);
+           storage_opener OpenStorage);
 
   void start(applier Applier) override;
   void stop() override;
@@ -71,12 +74,21 @@
                           const std::string &Replaces) override;
   std::uint64_t removeMember(const std::string &HostId) override;
 
+  //! Whether this host knows what it has durably stored, and may act on it.
+  [[nodiscard]] bool takesPart() const override {
+    return !Failed && !Stopped && !Suspended;
+  }
+
 private:
   struct pending_proposal {
     std::uint64_t Term = 0;
     completion Done;
   };
 
+  //! Options of a core that starts now.
+  raft_core::options coreOptions();
+  //! Connects to other hosts and applies what is known to be committed.
+  void takePart();
   void receive(const wire::raft_message &Message);
   void onFoundRequest(const wire::raft_message &Message);
   void onSynced(const storage_batch &Batch,
@@ -89,6 +101,7 @@
   void sendAll(const std::vector<wire::raft_message> &Messages, raft_time Now);
   void writeNext(raft_time Now);
   void applyCommitted();
+  void installSnapshot(const wire::raft_snapshot &Snapshot);
   void applyEntry(const wire::raft_entry &Entry);
   void updateLeadership();
   //! Connects to all control hosts that this host knows.
@@ -97,7 +110,19 @@
   void logMembership();
   void logJoinRefusal();
   void takeSnapshotIfDue();
+  //! Ends the part of this host for good.
   void fail(const std::string &Reason);
+  void stopLeading();
+
+  // raft_log_recovery.cpp
+  //! Ends the part of this host until its storage could be opened anew.
+  void suspend(const std::string &Reason);
+  void reopenAfterPause();
+  void reopen();
+  void onReopened(std::optional<stored_state> Stored,
+                  const std::string &Failure);
+  //! Continues from \p Stored as a newly started process would.
+  void restore(stored_state Stored);
   void failProposals(error_kind Kind);
   void requireLeadership() const;
   [[nodiscard]] std::string addressOf(const wire::raft_member &Member) const;
@@ -114,6 +139,9 @@
   peer_network Network;
   storage_worker Worker;
   boost::asio::steady_timer Ticker;
+  boost::asio::steady_timer Reopening;
+  growing_pause ReopenPause;
+  std::string SuspendedFor; //!< Reason of the last failure logged.
   applier Applier;
   std::map<std::uint64_t, pending_proposal> Proposals; //!< By log index.
   std::uint64_t Applied = 0;
@@ -128,6 +156,7 @@
   raft_time BootstrapDue{};
   bool Leading = false;
   bool Failed = false;
+  bool Suspended = false;
   bool AdvanceScheduled = false;
   bool Stopped = false;
 };
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -97,6 +97,10 @@
   [[nodiscard]] virtual std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const = 0;
 
+  //! Returns whether this host acknowledges, votes and may lead. It does not
+  //! while its storage fails.
+  [[nodiscard]] virtual bool takesPart() const { return true; }
+
   //! Handles a message of another control host that arrived on \p Link.
   virtual void deliver(const std::shared_ptr<peer_link> &Link,
                        const wire::raft_message &Message) = 0;
--- a/src/pomeloswitch/raft/storage_worker.cpp
+++ b/src/pomeloswitch/raft/storage_worker.cpp
@@ -6,13 +6,36 @@
 
 namespace pomelo {
 
-storage_worker::storage_worker(boost::asio::io_context &Io,
-                               std::unique_ptr<log_storage> Storage,
+storage_worker::storage_worker(boost::asio::io_context &Io, storage_opener Open,
                                completion Done)
-    : Io(Io), Storage(std::move(Storage)), Done(std::move(Done)) {}
+    : Io(Io), Opener(std::move(Open)), Done(std::move(Done)) {}
 
 storage_worker::~storage_worker() { Thread.join(); }
 
+stored_state storage_worker::open() {
+  Storage.reset(); // It holds the lock of the folder.
+  Storage = Opener();
+  return Storage->load();
+}
+
+void storage_worker::reopen(opened Reopened) {
+  Busy = true;
+  boost::asio::post(Thread, [this, Reopened = std::move(Reopened)] {
+    std::optional<stored_state> Stored;
+    std::string Failure;
+    try {
+      Stored = open();
+    } catch (const std::exception &Error) {
+      Failure = Error.what();
+    }
+    boost::asio::post(
+        Io, [this, Reopened, Stored = std::move(Stored), Failure]() mutable {
+          Busy = false;
+          Reopened(std::move(Stored), Failure);
+        });
+  });
+}
+
 void storage_worker::write(storage_batch Given) {
   Busy = true;
   auto Batch = std::make_shared<const storage_batch>(std::move(Given));
--- a/src/pomeloswitch/raft/storage_worker.hpp
+++ b/src/pomeloswitch/raft/storage_worker.hpp
@@ -1,4 +1,4 @@
-//! Writes batches to a log_storage on a dedicated thread.
+//! Opens a log_storage and writes batches to it on a dedicated thread.
 #ifndef POMELOSWITCH_RAFT_STORAGE_WORKER_HPP
 #define POMELOSWITCH_RAFT_STORAGE_WORKER_HPP
 
@@ -22,16 +22,27 @@
   using completion = std::function<void(const storage_batch &Batch,
                                         const std::optional<std::string> &)>;
 
-  storage_worker(boost::asio::io_context &Io,
-                 std::unique_ptr<log_storage> Storage, completion Done);
+  //! Called on the I/O context with the state loaded, or with the error message
+  //! if the storage could not be opened.
+  using opened = std::function<void(std::optional<stored_state>,
+                                    const std::string &Failure)>;
+
+  storage_worker(boost::asio::io_context &Io, storage_opener Open,
+                 completion Done);
   ~storage_worker();
 
   [[nodiscard]] bool busy() const { return Busy; }
+  //! Opens and loads the storage on the calling thread. Must not be called
+  //! while busy. \throws pomelo_error StorageFailed.
+  stored_state open();
+  //! Opens and loads the storage anew. Must not be called while busy.
+  void reopen(opened Done);
   //! Must not be called while busy.
   void write(storage_batch Batch);
 
 private:
   boost::asio::io_context &Io;
+  storage_opener Opener;
   std::unique_ptr<log_storage> Storage;
   completion Done;
   boost::asio::thread_pool Thread{1};
--- a/tests/raft/raft_log_test.cpp
+++ b/tests/raft/raft_log_test.cpp
@@ -11,11 +11,11 @@
 
 using std::chrono::seconds;
 
-//! A storage that discards all data and fails every write after the first
-//! \p Writes.
+//! A storage that discards all data and fails every write once none of
+//! \p Writes is left.
 class failing_storage final : public log_storage {
 public:
-  explicit failing_storage(int Writes) : Writes(Writes) {}
+  explicit failing_storage(int &Writes) : Writes(Writes) {}
   stored_state load() override {
     stored_state Stored;
     Stored.Identity.set_replica_id("r1");
@@ -27,19 +27,21 @@
   }
 
 private:
-  int Writes;
+  int &Writes;
 };
 
 class raft_log_alone : public testing::Test {
 protected:
   void start(int Writes, bool MayFound = true) {
+    WritesLeft = Writes;
     raft_log::options Options;
     Options.HostId = "c1";
     Options.Members = {{"c1", "127.0.0.1:1"}};
     if (MayFound)
       Options.Founders = Options.Members;
-    Log = std::make_unique<raft_log>(Io, Options,
-                                     std::make_unique<failing_storage>(Writes));
+    Log = std::make_unique<raft_log>(Io, Options, [this] {
+      return std::make_unique<failing_storage>(WritesLeft);
+    });
     replicated_log::applier Applier;
     Applier.OnCommitted = [this](const committed_entry &Entry) {
       Commands += Entry.Command;
@@ -65,6 +67,7 @@
     return *Outcome;
   }
 
+  int WritesLeft = 0;
   boost::asio::io_context Io;
   std::unique_ptr<raft_log> Log;
   std::string Commands;
@@ -123,11 +126,10 @@
     raft_log::options Options;
     Options.HostId = "c1";
     Options.Members = Options.Founders = {{"c1", "127.0.0.1:1"}};
-    Log = std::make_unique<raft_log>(
-        Io, Options,
-        std::make_unique<file_storage>(Folder / "data", "c1",
-                                       std::make_unique<file_io>(),
-                                       Options.Founders));
+    Log = std::make_unique<raft_log>(Io, Options, [this, Options] {
+      return std::make_unique<file_storage>(
+          Folder / "data", "c1", std::make_unique<file_io>(), Options.Founders);
+    });
     replicated_log::applier Applier;
     Applier.OnCommitted = [this](const committed_entry &Entry) {
       AppliedBytes += Entry.Command.size();
