Fault proxy: one link of a host, shared by its connections

The tests had no link that is slow: the proxy paces each connection by itself, so a body never delays a message on another connection.

shared_link carries the bytes of all connections that use it one after the other at a fixed rate, first in, first out. A direction that uses it sends segments of 1460 bytes, and its queue is the connection's window: ten segments at first, 64 KB at most, growing by what has arrived. fault_links::limitLink() puts all links of a member on one such link each way. Not modelled: loss, a full queue, and the opening packets.

--- a/tests/tools/fault_proxy_test.cpp
+++ b/tests/tools/fault_proxy_test.cpp
@@ -86,13 +86,13 @@
   EXPECT_EQ(Healed.Body.size(), BodyBytes);
 }
 
-route_faults responseFaults(direction_faults ToClient) {
+route_faults responseFaults(const direction_faults &ToClient) {
   route_faults Faults;
   Faults.ToClient = ToClient;
   return Faults;
 }
 
-route_faults requestFaults(direction_faults ToUpstream) {
+route_faults requestFaults(const direction_faults &ToUpstream) {
   route_faults Faults;
   Faults.ToUpstream = ToUpstream;
   return Faults;
@@ -165,6 +165,51 @@
   EXPECT_LT(steady_clock::now() - Start, Connections * milliseconds(50));
 }
 
+struct carry_case {
+  std::string Name;
+  std::size_t FirstBytes;
+  milliseconds SecondAt;
+  milliseconds Backlog; //!< That the second finds.
+  milliseconds Arrival; //!< Of the second, 10 KB.
+};
+
+void PrintTo(const carry_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class shared_link_carrying : public testing::TestWithParam<carry_case> {};
+
+TEST_P(shared_link_carrying, sends_in_the_order_of_arrival) {
+  const carry_case &Case = GetParam();
+  shared_link Link(100'000);
+  const steady_clock::time_point Start(seconds(1000));
+  Link.carry(Case.FirstBytes, Start);
+  EXPECT_EQ(Link.backlog(Start + Case.SecondAt), Case.Backlog);
+  EXPECT_EQ(Link.carry(10'000, Start + Case.SecondAt), Start + Case.Arrival);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_state, shared_link_carrying,
+    testing::Values(carry_case{"idle", 0, milliseconds(0), milliseconds(0),
+                               milliseconds(100)},
+                    carry_case{"behind_a_body", 50'000, milliseconds(200),
+                               milliseconds(300), milliseconds(600)},
+                    carry_case{"after_a_body", 50'000, milliseconds(700),
+                               milliseconds(0), milliseconds(800)}));
+
+// Without a shared rate, the two would take as long as one: 0.2 s.
+TEST_F(fault_proxy_route, connections_on_a_shared_link_share_its_rate) {
+  Proxy.setFaults(
+      "r",
+      responseFaults({.Link = std::make_shared<shared_link>(5 * BodyBytes)}));
+  const auto Start = steady_clock::now();
+  http_answer Beside;
+  std::thread Caller([&] { Beside = get(); });
+  EXPECT_EQ(get().Status, 200);
+  Caller.join();
+  EXPECT_EQ(Beside.Status, 200);
+  EXPECT_GE(steady_clock::now() - Start, milliseconds(400));
+  EXPECT_LT(steady_clock::now() - Start, milliseconds(800));
+}
+
 struct control_case {
   std::string Name;
   std::string Path;
--- a/tools/emulator/fault_links.cpp
+++ b/tools/emulator/fault_links.cpp
@@ -21,6 +21,13 @@
   return Faults;
 }
 
+route_faults faultsFor(const host_link &Host, bool FromHost) {
+  route_faults Faults;
+  Faults.ToUpstream.Link = FromHost ? Host.Outbound : Host.Inbound;
+  Faults.ToClient.Link = FromHost ? Host.Inbound : Host.Outbound;
+  return Faults;
+}
+
 std::string targetRoute(const std::string &TargetId) { return "*>" + TargetId; }
 
 } // namespace
@@ -71,6 +78,16 @@
   cut([&](const link_end &End) { return End.Id == Id; }, Kind);
 }
 
+host_link fault_links::limitLink(const std::string &Id,
+                                 std::uint64_t BytesPerSecond) {
+  host_link Host{std::make_shared<fault_proxy::shared_link>(BytesPerSecond),
+                 std::make_shared<fault_proxy::shared_link>(BytesPerSecond)};
+  for (const link &Link : Links)
+    if (Link.From.Id == Id || Link.To.Id == Id)
+      setFaults(Link, faultsFor(Host, Link.From.Id == Id));
+  return Host;
+}
+
 void fault_links::heal() {
   for (const link &Link : Links)
     Proxy.clearFaults(Link.Route);
--- a/tools/emulator/fault_links.hpp
+++ b/tools/emulator/fault_links.hpp
@@ -4,6 +4,8 @@
 
 #include "fault_proxy/fault_proxy_thread.hpp"
 
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,12 @@
   Inbound,  //!< Blocks data that enters the domain.
 };
 
+//! The network link of one host, seen from the host.
+struct host_link {
+  std::shared_ptr<fault_proxy::shared_link> Inbound;
+  std::shared_ptr<fault_proxy::shared_link> Outbound;
+};
+
 //! A member as one end of a link.
 struct link_end {
   std::string Id;
@@ -47,6 +55,9 @@
                  cut_kind Kind = cut_kind::Silent);
   //! Cuts one member off from all members that it has links with.
   void cutMember(const std::string &Id, cut_kind Kind = cut_kind::Silent);
+  //! Carries all that the member sends and receives on its links over one
+  //! network link of \p BytesPerSecond each way.
+  host_link limitLink(const std::string &Id, std::uint64_t BytesPerSecond);
   //! Removes the faults of all links.
   void heal();
 
--- a/tools/fault_proxy/direction.cpp
+++ b/tools/fault_proxy/direction.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr std::size_t MaxQueuedBytes = 1024 * 1024;
+// With a shared link: what TCP sends at a time, what it sends before the first
+// acknowledgement, and its window at most.
+constexpr std::size_t SegmentBytes = 1460;
+constexpr std::size_t InitialWindowBytes = 10 * SegmentBytes;
+constexpr std::size_t MaxWindowBytes = 64 * 1024;
 constexpr std::uint64_t MicrosecondsPerSecond = 1'000'000;
 constexpr std::uint64_t PiecesPerSecond = 50; // Used only with a rate limit.
 
@@ -50,7 +55,7 @@
 asio::awaitable<void> direction::read() {
   for (;;) {
     chunk Chunk;
-    Chunk.Bytes.resize(ChunkBytes);
+    Chunk.Bytes.resize(readBytes());
     error_code Error;
     const std::size_t Count = co_await From.async_read_some(
         asio::buffer(Chunk.Bytes),
@@ -58,7 +63,9 @@
     if (Error && Error != asio::error::eof)
       throw boost::system::system_error(Error);
     Chunk.Bytes.resize(Count);
-    Chunk.ReadAt = steady_clock::now();
+    Chunk.ArrivesAt = steady_clock::now();
+    if (Faults.Link)
+      Chunk.ArrivesAt = Faults.Link->carry(Count, Chunk.ArrivesAt);
     QueuedBytes += Count;
     Queue.push_back(std::move(Chunk));
     wake();
@@ -66,7 +73,7 @@
       co_return;
     // Backpressure: a blocked direction fills the sender's TCP window, as
     // packet loss would.
-    while (QueuedBytes >= MaxQueuedBytes && !Stopped) {
+    while (QueuedBytes >= maxQueuedBytes() && !Stopped) {
       BackpressureTimer.expires_after(std::chrono::milliseconds(1));
       co_await BackpressureTimer.async_wait(asio::use_awaitable);
     }
@@ -111,7 +118,7 @@
 
 asio::awaitable<void> direction::waitUntilDue(const chunk &Chunk) {
   for (;;) {
-    const auto Due = Chunk.ReadAt + Faults.Delay;
+    const auto Due = Chunk.ArrivesAt + Faults.Delay;
     if (steady_clock::now() >= Due || Stopped)
       co_return;
     FaultsChanged.expires_at(Due);
@@ -149,6 +156,19 @@
   return static_cast<std::size_t>(Count);
 }
 
+std::size_t direction::readBytes() const {
+  return Faults.Link ? SegmentBytes : ChunkBytes;
+}
+
+//! On a shared link the queue is the connection's window, which grows by what
+//! has arrived (TCP's slow start).
+std::size_t direction::maxQueuedBytes() const {
+  if (!Faults.Link)
+    return MaxQueuedBytes;
+  return static_cast<std::size_t>(std::min<std::uint64_t>(
+      MaxWindowBytes, InitialWindowBytes + ForwardedBytes));
+}
+
 limit_outcome direction::reachedLimit() const {
   if (Faults.ResetAfterBytes != 0 && ForwardedBytes >= Faults.ResetAfterBytes)
     return limit_outcome::Reset;
--- a/tools/fault_proxy/direction.hpp
+++ b/tools/fault_proxy/direction.hpp
@@ -45,7 +45,8 @@
 private:
   struct chunk {
     std::vector<char> Bytes; //!< Empty at the end of the stream.
-    std::chrono::steady_clock::time_point ReadAt;
+    //! When it was read, or when it has crossed the shared link.
+    std::chrono::steady_clock::time_point ArrivesAt;
   };
 
   [[nodiscard]] bool blocked() const { return Silenced || Faults.Blocked; }
@@ -54,6 +55,8 @@
   boost::asio::awaitable<void> pace(std::size_t Bytes);
   boost::asio::awaitable<limit_outcome> forward(std::span<const char> Bytes);
   [[nodiscard]] std::size_t pieceBytes(std::size_t Wanted) const;
+  [[nodiscard]] std::size_t readBytes() const;
+  [[nodiscard]] std::size_t maxQueuedBytes() const;
   [[nodiscard]] limit_outcome reachedLimit() const;
 
   boost::asio::ip::tcp::socket &From;
--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -20,6 +20,16 @@
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
 }
 
+//! On a shared link the sender is held back by the connection's window, not by
+//! the proxy's receive buffer.
+void limitReceiveBuffer(tcp::socket &Socket, const direction_faults &Faults) {
+  constexpr int BufferBytes = 16 * 1024;
+  error_code Ignored;
+  if (Faults.Link)
+    Socket.set_option(asio::socket_base::receive_buffer_size(BufferBytes),
+                      Ignored);
+}
+
 } // namespace
 
 proxied_connection::proxied_connection(tcp::socket ClientSocket)
@@ -63,6 +73,8 @@
   }
   if (Closed)
     co_return;
+  Server.open(Address.protocol());
+  limitReceiveBuffer(Server, Faults.ToClient);
   co_await Server.async_connect(Address, asio::use_awaitable);
   error_code Ignored;
   Client.set_option(tcp::no_delay(true), Ignored);
@@ -94,6 +106,7 @@
 
 void proxied_connection::setFaults(const route_faults &Value) {
   Faults = Value;
+  limitReceiveBuffer(Client, Faults.ToUpstream);
   if (!Started)
     return;
   if (Faults.Cut)
--- a/tools/fault_proxy/route_faults.hpp
+++ b/tools/fault_proxy/route_faults.hpp
@@ -2,10 +2,13 @@
 #ifndef POMELOSWITCH_TOOLS_FAULT_PROXY_ROUTE_FAULTS_HPP
 #define POMELOSWITCH_TOOLS_FAULT_PROXY_ROUTE_FAULTS_HPP
 
+#include "fault_proxy/shared_link.hpp"
+
 #include <boost/json/object.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 
 namespace pomelo::fault_proxy {
 
@@ -19,6 +22,9 @@
   std::uint64_t CloseAfterBytes = 0;
   //! Bytes of a connection after which both ends are reset; 0 for never.
   std::uint64_t ResetAfterBytes = 0;
+  //! Carries the bytes of this direction beside those of other connections;
+  //! null for no such limit. Set by programs only: JSON has no field for it.
+  std::shared_ptr<shared_link> Link = nullptr;
 };
 
 struct route_faults {
