Fault proxy: on a shared link an end that does not read holds back the sender

The proxy's own send buffer took in what the receiving end did not read, so that the link was used by bytes that no host had asked for. Both buffers are 16 KB now.

--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -20,14 +20,16 @@
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
 }
 
-//! On a shared link the sender is held back by the connection's window, not by
-//! the proxy's receive buffer.
-void limitReceiveBuffer(tcp::socket &Socket, const direction_faults &Faults) {
+//! On a shared link the connection's window holds the sender back, and an end
+//! that does not read holds back the window: the proxy's buffers are small.
+void limitBuffers(tcp::socket &Socket, const route_faults &Faults) {
   constexpr int BufferBytes = 16 * 1024;
+  if (!Faults.ToUpstream.Link && !Faults.ToClient.Link)
+    return;
   error_code Ignored;
-  if (Faults.Link)
-    Socket.set_option(asio::socket_base::receive_buffer_size(BufferBytes),
-                      Ignored);
+  Socket.set_option(asio::socket_base::receive_buffer_size(BufferBytes),
+                    Ignored);
+  Socket.set_option(asio::socket_base::send_buffer_size(BufferBytes), Ignored);
 }
 
 } // namespace
@@ -74,7 +76,7 @@
   if (Closed)
     co_return;
   Server.open(Address.protocol());
-  limitReceiveBuffer(Server, Faults.ToClient);
+  limitBuffers(Server, Faults);
   co_await Server.async_connect(Address, asio::use_awaitable);
   error_code Ignored;
   Client.set_option(tcp::no_delay(true), Ignored);
@@ -106,7 +108,7 @@
 
 void proxied_connection::setFaults(const route_faults &Value) {
   Faults = Value;
-  limitReceiveBuffer(Client, Faults.ToUpstream);
+  limitBuffers(Client, Faults);
   if (!Started)
     return;
   if (Faults.Cut)
