--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -20,6 +20,18 @@
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
 }
 
+//! On a shared link the connection's window holds the sender back, and an end
+//! that does not read holds back the window: the proxy's buffers are small.
+void limitBuffers(tcp::socket &Socket, const route_faults &Faults) {
+  constexpr int BufferBytes = 16 * 1024;
+  if (!Faults.ToUpstream.Link && !Faults.ToClient.Link)
+    return;
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::receive_buffer_size(BufferBytes),
+                    Ignored);
+  Socket.set_option(asio::socket_base::send_buffer_size(BufferBytes), Ignored);
+}
+
 } // namespace
 
 proxied_connection::proxied_connection(tcp::socket ClientSocket)
@@ -63,6 +75,8 @@
   }
   if (Closed)
     co_return;
+  Server.open(Address.protocol());
+  limitBuffers(Server, Faults);
   co_await Server.async_connect(Address, asio::use_awaitable);
   error_code Ignored;
   Client.set_option(tcp::no_delay(true), Ignored);
@@ -94,6 +108,7 @@
 
 void proxied_connection::setFaults(const route_faults &Value) {
   Faults = Value;
+  limitBuffers(Client, Faults);
   if (!Started)
     return;
   if (Faults.Cut)
