A body that waits for the link heeds its caller and its deadline

Found in review: a caller who left while its body was sent in pieces was noticed only once the whole body was out (the target then ran the request), waits for the link had no bound, and the empty piece at the end of a body waited for a turn.

The connection to the target is closed as soon as the caller leaves; a piece whose turn is after the deadline is not sent; nothing waits with nothing to send.

Tests: large_body_of_a_caller_that_leaves, large_body_behind_others. The assertion of large_body is named for what it asserts.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -216,8 +216,6 @@
     target_dispatch &Dispatch;
     steady_clock::time_point SentAt;
   } AttemptRecorder(*this, Owner, Dispatch);
-  co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
-  observeCaller();
   // If the caller disconnects, the target's connection is closed to free the
   // target. A claimed request is completed instead, since its caller is
   // expected to retry and to receive the recorded response.
@@ -234,6 +232,8 @@
     cancel_on_disconnect(const cancel_on_disconnect &) = delete;
     cancel_on_disconnect &operator=(const cancel_on_disconnect &) = delete;
   } const CancelOnDisconnect(*this, Connection);
+  co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
+  observeCaller();
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
   co_await Dispatch.readResponseHeader(Plan.Deadline);
--- a/src/pomeloswitch/http/response_relay.cpp
+++ b/src/pomeloswitch/http/response_relay.cpp
@@ -60,7 +60,7 @@
   Message.body().data = nullptr;
   Message.body().more = HasBody;
   serializer Serializer(Message);
-  limitWrite();
+  Caller.expires_at(writeDeadline());
   co_await writeHeader(Serializer);
   while (!Response.is_done()) {
     const std::span<char> Piece = co_await readPiece();
@@ -79,9 +79,9 @@
 
 //! Until the response has been read, a caller that reads slowly must not occupy
 //! the target for longer than the deadline.
-void response_relay::limitWrite() {
+steady_time response_relay::writeDeadline() const {
   const auto Latest = std::chrono::steady_clock::now() + CallerProgressTimeout;
-  Caller.expires_at(Response.is_done() ? Latest : std::min(Latest, Deadline));
+  return Response.is_done() ? Latest : std::min(Latest, Deadline);
 }
 
 asio::awaitable<std::span<char>> response_relay::readPiece() {
@@ -101,6 +101,12 @@
   co_return std::span(Chunk).first(Chunk.size() - Response.get().body().size);
 }
 
+asio::awaitable<void> response_relay::awaitRelayTurn(std::size_t Bytes) {
+  const bool InTime = co_await awaitLink(Link, Bytes, writeDeadline());
+  if (!InTime)
+    throw boost::system::system_error(boost::beast::error::timeout);
+}
+
 asio::awaitable<void> response_relay::writePiece(message &Message,
                                                  serializer &Serializer,
                                                  std::span<char> Piece) {
@@ -109,11 +115,11 @@
     co_return;
   RelayedBytes += Piece.size();
   if (RelayedBytes > Link.pieceBytes())
-    co_await awaitLink(Link, Piece.size());
+    co_await awaitRelayTurn(Piece.size());
   Message.body().data = Piece.empty() ? nullptr : Piece.data();
   Message.body().size = Piece.size();
   Message.body().more = !Last;
-  limitWrite();
+  Caller.expires_at(writeDeadline());
   error_code Error;
   co_await http::async_write(Caller, Serializer, redirect(Error));
   if (Error != http::error::need_buffer)
--- a/src/pomeloswitch/http/response_relay.hpp
+++ b/src/pomeloswitch/http/response_relay.hpp
@@ -53,10 +53,11 @@
       boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
   boost::asio::awaitable<std::span<char>> readPiece();
+  boost::asio::awaitable<void> awaitRelayTurn(std::size_t Bytes);
   boost::asio::awaitable<void>
   writePiece(message &Message, serializer &Serializer, std::span<char> Piece);
   boost::asio::awaitable<void> writeHeader(serializer &Serializer);
-  void limitWrite();
+  [[nodiscard]] steady_time writeDeadline() const;
   void checkCaller(boost::system::error_code Error);
   void copyPiece(std::span<const char> Piece);
 
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -52,6 +52,7 @@
                                             std::uint64_t MaxBodyBytes,
                                             steady_time Deadline) {
   ResponseHasNoBody = Header.method() == http::verb::head;
+  this->Deadline = Deadline;
   Connection.Stream.expires_at(Deadline);
   Progress = attempt_progress::Sent;
   if (!Body.fullyBuffered())
@@ -109,7 +110,9 @@
   error_code Error;
   do {
     const auto Part = Piece.first(std::min(Piece.size(), Link.pieceBytes()));
-    co_await awaitLink(Link, Part.size());
+    const bool InTime = co_await awaitLink(Link, Part.size(), Deadline);
+    if (!InTime)
+      co_return beast::error::timeout;
     Message.body().data = const_cast<char *>(Part.data());
     Message.body().size = Part.size();
     Message.body().more = !Part.empty();
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -107,6 +107,7 @@
   std::string_view RequestId;
   link_pacer &Link;
   link_pacer::pending_body &PendingBody;
+  steady_time Deadline{}; //!< For sending the request.
   response_metadata Metadata;
   target_notice Notice;
   std::optional<response_stream_parser> Response;
--- a/src/pomeloswitch/sending/link_pacer.hpp
+++ b/src/pomeloswitch/sending/link_pacer.hpp
@@ -6,6 +6,7 @@
 #ifndef POMELOSWITCH_SENDING_LINK_PACER_HPP
 #define POMELOSWITCH_SENDING_LINK_PACER_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +26,11 @@
   //! Largest piece, in bytes, that a body is sent in.
   [[nodiscard]] std::size_t pieceBytes() const { return PieceBytes; }
 
+  //! Returns when the next piece may be sent, \p Now at the earliest.
+  [[nodiscard]] time_point freeAt(time_point Now) const {
+    return std::max(FreeAt, Now);
+  }
+
   //! Takes the link for a piece of \p Bytes after all pieces before it, and
   //! returns when the piece may be sent.
   time_point take(std::size_t Bytes, time_point Now);
--- a/tests/http/link_bodies_test.cpp
+++ b/tests/http/link_bodies_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace pomelo {
 namespace {
 
@@ -25,7 +27,7 @@
   return Bytes;
 }
 
-TEST_P(large_body, leaves_a_fifth_of_the_link_and_arrives_whole) {
+TEST_P(large_body, takes_no_more_than_the_link_and_arrives_whole) {
   const std::string Request = bytes(GetParam().Request);
   const std::string Response = bytes(GetParam().Response);
   std::string Received;
@@ -54,5 +56,43 @@
                     body_sizes{"both", 60'000, 60'000}),
     [](const auto &Info) { return Info.param.Name; });
 
+//! Guards against bodies that go on to a target after their caller has left.
+TEST(large_body_of_a_caller_that_leaves, does_not_reach_the_target_whole) {
+  const std::string Request = bytes(60'000);
+  std::promise<std::size_t> Arrived;
+  scripted_target Target([&](scripted_connection &Connection, unsigned) {
+    Connection.readRequest();
+    Arrived.set_value(Connection.readBody(Request.size()).size());
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.useLink(LinkBytesPerSecond);
+  {
+    boost::asio::io_context Io;
+    boost::asio::ip::tcp::socket Caller(Io);
+    Caller.connect(parseEndpoint(Traffic.address()));
+    boost::asio::write(
+        Caller, boost::asio::buffer("POST /unsafe HTTP/1.1\r\nHost: h\r\n"
+                                    "Content-Length: 60000\r\n\r\n" +
+                                    Request));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  EXPECT_LT(Arrived.get_future().get(), Request.size());
+}
+
+//! Guards against bodies that are sent after their request's deadline.
+TEST(large_body_behind_others, is_given_up_at_its_deadline) {
+  scripted_target Target([&](scripted_connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.awaitEnd();
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.useLink(10'000);
+  const auto Start = steady_clock::now();
+  const auto Answer = Traffic.call("POST", "/once", bytes(60'000));
+  const std::chrono::duration<double> Took = steady_clock::now() - Start;
+  EXPECT_GE(Answer.Status, 500) << Answer.Failure;
+  EXPECT_LT(Took.count(), 1.3); // The deadline is 0.8 s.
+}
+
 } // namespace
 } // namespace pomelo
