--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -92,8 +92,10 @@
                                       Body,
                                       std::chrono::seconds(5)});
   }
-  //! Ends the host's lease, as if it had lost contact.
-  void endLease() { RoutingLease.extendTo(lease_clock::now()); }
+  //! Ends the host's lease, as if it had lost contact \p Ago.
+  void endLease(std::chrono::milliseconds Ago = {}) {
+    RoutingLease.extendTo(lease_clock::now() - Ago);
+  }
   //! Makes the host's link known.
   void useLink(double BytesPerSecond) {
     boost::asio::post(Io, [this, BytesPerSecond] {
