Observing: how long heartbeats take, while a host has no lease

Leases were lost although acknowledged 200 to 500 ms ago and although the state was current; lines could not tell a late answer from a busy leader. lease_lost and lease_gained now tell answer_took_ms, heartbeat_bytes and queued_bytes, no_lease repeats them once a second, and control_activity has tick_delay_ms.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -392,6 +392,7 @@
     if (Error)
       return;
     const mono_time Now = steady_clock::now();
+    MostTickDelay = std::max(MostTickDelay, Now - Ticker.expiry());
     lead(Now);
     forwardReports();
     sendLogToAll(Now);
@@ -445,6 +446,10 @@
     return;
   ActivityLoggedAt = Now;
   boost::json::object Fields = Activity.takeReport();
+  Fields["tick_delay_ms"] =
+      std::chrono::duration_cast<milliseconds>(
+          std::exchange(MostTickDelay, mono_time::duration(0)))
+          .count();
   Fields["links"] = Sessions.size();
   Fields["index"] = State.index();
   Logger.event(log_level::Info, "control_activity", Fields);
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -146,6 +146,7 @@
   bool SendLogScheduled = false;
   bool LogUrgent = false; //!< The log has an urgent entry that was not sent.
   mono_time LastTickAt{};
+  mono_time::duration MostTickDelay{0}; //!< Since the activity was logged.
   mono_time ActivityLoggedAt{};
 };
 
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds LinkTimeout{900};
 constexpr std::size_t MaxUnacknowledged = 64;
 constexpr milliseconds ProposalCheckInterval{20};
+//! A host without a lease logs this often how it stands.
+constexpr milliseconds NoLeaseLogInterval{1000};
 
 } // namespace
 
@@ -236,6 +238,8 @@
   if (Sent == SentAt.end())
     return;
   const lease_time Until = Sent->second + milliseconds(Ack.lease_ms());
+  AnswerTook = std::chrono::duration_cast<milliseconds>(lease_clock::now() -
+                                                        Sent->second);
   SentAt.erase(SentAt.begin(), std::next(Sent));
   Schedule.answered(Ack.sequence(), steady_clock::now());
   armHeartbeatTimer();
@@ -261,15 +265,28 @@
 
 void control_session::logLeaseChange(steady_time Now) {
   const bool Valid = lease_clock::now() < LeaseUntil;
-  if (Valid == std::exchange(LeaseWasValid, Valid))
-    return;
-  Log.event(Valid ? log_level::Info : log_level::Warn,
-            Valid ? "lease_gained" : "lease_lost",
+  if (Valid != std::exchange(LeaseWasValid, Valid))
+    return logLease(Valid ? log_level::Info : log_level::Warn,
+                    Valid ? "lease_gained" : "lease_lost", Now);
+  if (!Valid && Now - LeaseLoggedAt >= NoLeaseLogInterval)
+    logLease(log_level::Info, "no_lease", Now);
+}
+
+void control_session::logLease(log_level Level, const char *Event,
+                               steady_time Now) {
+  LeaseLoggedAt = Now;
+  const std::size_t Queued = Leader && Leader->Dialer->open()
+                                 ? Leader->Dialer->link()->queuedBytes()
+                                 : 0;
+  Log.event(Level, Event,
             {{"index", State.index()},
              {"lease_index", PendingLeases.latestIndex()},
              {"acknowledged_ms_ago", std::chrono::duration_cast<milliseconds>(
                                          Now - Schedule.answeredAt())
-                                         .count()}});
+                                         .count()},
+             {"answer_took_ms", AnswerTook.count()},
+             {"heartbeat_bytes", HeartbeatBytes},
+             {"queued_bytes", Queued}});
 }
 
 std::uint64_t control_session::queueReport(const wire::target_report &Report) {
@@ -343,6 +360,7 @@
     *Heartbeat->add_targets() = *Report;
   Callbacks.AddQuota(*Heartbeat);
   Callbacks.AddLoads(*Heartbeat);
+  HeartbeatBytes = Message.ByteSizeLong();
   const steady_time Now = steady_clock::now();
   Schedule.sent(Now);
   SentAt[Heartbeat->sequence()] = lease_clock::now();
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -110,6 +110,7 @@
   void armHeartbeatTimer();
   void takeLease();
   void logLeaseChange(steady_time Now);
+  void logLease(log_level Level, const char *Event, steady_time Now);
 
   boost::asio::io_context &Io;
   const entry_settings &Settings;
@@ -130,6 +131,9 @@
   pending_leases PendingLeases;
   lease_time LeaseUntil{};
   bool LeaseWasValid = false; //!< At the last heartbeat.
+  steady_time LeaseLoggedAt{};
+  std::chrono::milliseconds AnswerTook{0}; //!< Of the latest acknowledgement.
+  std::size_t HeartbeatBytes = 0;          //!< Of the latest heartbeat.
   std::map<std::string, std::unique_ptr<wire::target_report>> Reports;
   proposal_table Proposals;
   boost::asio::steady_timer ProposalTimer;
