A caller that left while its request waited: nothing is sent

Cause: a caller is observed only from the end of the waits for a lease and for tokens on, and by a callback that runs between the steps of requests. One that had left before was noticed, if at all, only once the request was out.

Change: the connection itself is looked at right before the first byte.

With it: a refused body counts no longer at the link, and a few names that a reader stumbled over.

--- a/src/pomeloswitch/control/state_feed.cpp
+++ b/src/pomeloswitch/control/state_feed.cpp
@@ -79,9 +79,9 @@
     auto *Out = Batch.add_entries();
     Out->set_index(Entry.Index);
     const auto Difference = Differences.find(Entry.Index);
-    const bool Shorter =
+    const bool AsDifference =
         Position.AcceptsDifferences && Difference != Differences.end();
-    Out->set_command(Shorter ? Difference->second : Entry.Command);
+    Out->set_command(AsDifference ? Difference->second : Entry.Command);
     NextIndex = Entry.Index + 1;
   }
   if (Batch.entries_size() == 0)
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -117,7 +117,7 @@
   std::uint64_t Incarnation;
   callbacks Callbacks;
   component_logger Log{"entry.control"};
-  //! Of configurations from the one before.
+  //! Whether configurations are asked for as differences.
   bool AcceptsDifferences = true;
   cluster_state State;
   std::vector<std::unique_ptr<control_host>> Hosts;
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -56,6 +56,7 @@
   } catch (const pomelo_error &Failure) {
     Refusal = History.withEarlierSends(Failure);
   }
+  PendingBody = {};
   if (Refusal)
     Telemetry.failed(Refusal->kind());
   Telemetry.close(Context.Metrics, Context.Spans);
@@ -191,6 +192,8 @@
 exchange::dispatch(const slot_owner &Owner, pooled_connection &Connection,
                    in_flight_table::in_flight_request &InFlight) {
   boundByStop();
+  noticeCallerGone();
+  checkCallerConnected();
   if (Plan.Key)
     InFlight = in_flight_table::in_flight_request(
         Context.InFlightRequests, Plan.Service, Owner.Slot, Owner.Token,
@@ -258,6 +261,13 @@
   });
 }
 
+//! Looks at the connection itself: its observer may not have run since the
+//! caller left, or began only after the request had waited.
+void exchange::noticeCallerGone() {
+  if (Request.is_done() && peekInput(Caller.socket()) == input_state::Ended)
+    CallerDisconnected = true;
+}
+
 void exchange::checkCallerConnected() const {
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -64,6 +64,7 @@
   boost::asio::awaitable<slot_owner> awaitTarget();
   boost::asio::awaitable<std::optional<slot_owner>> awaitPlannedTarget();
   [[nodiscard]] pending_request makePendingRequest() const;
+  void noticeCallerGone();
   void checkCallerConnected() const;
   void observeCaller();
   void logOutcome(const std::optional<pomelo_error> &Refusal) const;
@@ -89,7 +90,8 @@
   caller_body Body;
   request_telemetry Telemetry;
   claim_guard Claim;
-  link_pacer::pending_body PendingBody; //!< Counted at the link.
+  //! What the link has yet to take of the body.
+  link_pacer::pending_body PendingBody;
   send_history History;
   attempt_progress LastProgress = attempt_progress::NothingSent;
   attempt_failure LastFailure = attempt_failure::None;
--- a/src/pomeloswitch/sending/link_pacer.cpp
+++ b/src/pomeloswitch/sending/link_pacer.cpp
@@ -10,7 +10,7 @@
 
 //! Part of the link that bodies may take.
 constexpr double BodyShare = 0.75;
-//! A small message waits for one piece at most, so a piece takes this long.
+//! A small message waits for one piece, so a piece takes about this long.
 constexpr link_pacer::duration PieceTime{0.01};
 constexpr double SmallestPieceBytes = 4 * 1024;
 constexpr double LargestPieceBytes = 64 * 1024;
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -362,6 +362,28 @@
         missing_lease_case{"long_ago_and_forgotten", seconds(1), true, false}),
     [](const auto &Info) { return Info.param.Name; });
 
+// Guards against requests that are sent on after their callers have left.
+TEST(exchange, sends_no_request_of_a_caller_that_left_while_it_waited) {
+  scripted_target Target(writes(CompleteResponse));
+  traffic_fixture Traffic(Target.address(), 1);
+  Traffic.endLease();
+  {
+    boost::asio::io_context Io;
+    boost::asio::ip::tcp::socket Caller(Io);
+    Caller.connect(parseEndpoint(Traffic.address()));
+    boost::asio::write(
+        Caller,
+        boost::asio::buffer("POST /claimed HTTP/1.1\r\nHost: h\r\n"
+                            "Authorization: Bearer " +
+                            Traffic.key() + "\r\nContent-Length: 0\r\n\r\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Traffic.regainLease();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(Target.requests(), 0U);
+}
+
 // A host that starts may read the state of a control host that lags far behind,
 // and a machine may have started less than the time of isolation ago.
 TEST(exchange, serves_no_open_route_before_its_first_lease) {
