--- a/src/pomeloswitch/http/exchange_planning.cpp
+++ b/src/pomeloswitch/http/exchange_planning.cpp
@@ -22,8 +22,7 @@
 constexpr auto StopMargin = milliseconds(200);
 //! Time that a request needs on a route without a latency objective.
 constexpr auto DefaultNeed = milliseconds(1000);
-//! A new leader renews leases within this time after their end. A host whose
-//! lease ended earlier has another trouble, and waiting is in vain.
+//! A new leader renews leases within this time.
 constexpr auto MaxLeaseWait = milliseconds(500);
 
 } // namespace
@@ -99,15 +98,15 @@
   return true;
 }
 
-//! Waits for a valid lease, to bridge a change of leader, but refuses at once
-//! if the lease has been missing for longer than that. Account quotas are
+//! Waits for a valid lease, to bridge a change of leader. Account quotas are
 //! leased too: without this check, a host that is cut off from the control
 //! group would reject requests as above the account's rate.
 asio::awaitable<void> exchange::awaitLease() {
   asio::steady_timer Timer(Context.Io);
+  const auto GiveUp =
+      std::min(Plan.Deadline, steady_clock::now() + MaxLeaseWait);
   while (!Context.RoutingLease.valid()) {
-    if (steady_clock::now() >= Plan.Deadline ||
-        Context.RoutingLease.sinceLatest() >= MaxLeaseWait)
+    if (steady_clock::now() >= GiveUp)
       throw pomelo_error(error_kind::NotAuthoritative, LostContact);
     Timer.expires_after(LeasePollInterval);
     co_await Timer.async_wait(asio::use_awaitable);
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -16,7 +16,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -34,17 +33,11 @@
 class routing_lease {
 public:
   void extendTo(lease_time Until) {
-    Latest.store(Until.time_since_epoch().count(), std::memory_order_release);
     ValidUntil.store(Until.time_since_epoch().count(),
                      std::memory_order_release);
   }
   //! As if there had never been a lease: the state is known to be outdated.
-  void forget() {
-    const auto Now = lease_clock::now().time_since_epoch().count();
-    Latest.store(std::min(Latest.load(std::memory_order_acquire), Now),
-                 std::memory_order_release);
-    ValidUntil.store(0, std::memory_order_release);
-  }
+  void forget() { extendTo(lease_time()); }
   //! Whether the state that the host routes by was ever vouched for.
   [[nodiscard]] bool everGranted() const {
     return ValidUntil.load(std::memory_order_acquire) != 0;
@@ -56,18 +49,9 @@
     return Until - lease_clock::now();
   }
   [[nodiscard]] bool valid() const { return remaining().count() > 0; }
-  //! Time since the latest lease ended or was forgotten, or since the start of
-  //! the host if it has had none; negative while there is one.
-  [[nodiscard]] lease_time::duration sinceLatest() const {
-    const lease_time Until(
-        lease_time::duration(Latest.load(std::memory_order_acquire)));
-    return lease_clock::now() - Until;
-  }
 
 private:
   std::atomic<lease_time::rep> ValidUntil{0};
-  std::atomic<lease_time::rep> Latest{
-      lease_clock::now().time_since_epoch().count()};
 };
 
 //! Owned by one traffic thread; provides no locking.
