Raft: callbacks that are still queued do nothing once their log is gone

Found by the sanitized pass: nine rows of full_disk, in which a host ends and starts again on one I/O context, used a raft_log or its storage_worker after it was freed (storage_worker.cpp:50, raft_log.cpp:178). A daemon keeps its log as long as its I/O context, so no process was affected.

The queued callbacks hold a weak reference to their owner. The nine rows failed before.

--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -174,7 +174,9 @@
 void raft_log::scheduleAdvance() {
   if (std::exchange(AdvanceScheduled, true))
     return;
-  boost::asio::post(Io, [this] {
+  boost::asio::post(Io, [this, Owner = std::weak_ptr<void>(Alive)] {
+    if (Owner.expired())
+      return;
     AdvanceScheduled = false;
     advance();
   });
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -159,6 +159,8 @@
   bool Suspended = false;
   bool AdvanceScheduled = false;
   bool Stopped = false;
+  //! Expires with this object, before callbacks that are still queued.
+  std::shared_ptr<void> Alive = std::make_shared<bool>();
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/raft/storage_worker.cpp
+++ b/src/pomeloswitch/raft/storage_worker.cpp
@@ -28,11 +28,13 @@
     } catch (const std::exception &Error) {
       Failure = Error.what();
     }
-    boost::asio::post(
-        Io, [this, Reopened, Stored = std::move(Stored), Failure]() mutable {
-          Busy = false;
-          Reopened(std::move(Stored), Failure);
-        });
+    boost::asio::post(Io, [this, Owner = std::weak_ptr<void>(Alive), Reopened,
+                           Stored = std::move(Stored), Failure]() mutable {
+      if (Owner.expired())
+        return;
+      Busy = false;
+      Reopened(std::move(Stored), Failure);
+    });
   });
 }
 
@@ -46,10 +48,13 @@
     } catch (const std::exception &Error) {
       Failure = Error.what();
     }
-    boost::asio::post(Io, [this, Batch, Failure] {
-      Busy = false;
-      Done(*Batch, Failure);
-    });
+    boost::asio::post(
+        Io, [this, Owner = std::weak_ptr<void>(Alive), Batch, Failure] {
+          if (Owner.expired())
+            return;
+          Busy = false;
+          Done(*Batch, Failure);
+        });
   });
 }
 
--- a/src/pomeloswitch/raft/storage_worker.hpp
+++ b/src/pomeloswitch/raft/storage_worker.hpp
@@ -47,6 +47,8 @@
   completion Done;
   boost::asio::thread_pool Thread{1};
   bool Busy = false;
+  //! Expires with this object, before completions that are still queued.
+  std::shared_ptr<void> Alive = std::make_shared<bool>();
 };
 
 } // namespace pomelo
