Command lines: a bad option of any program is one line and exit code 2

Cause: each program called docopt itself; its conversions throw types of the standard library, and its parser ends the process. One function parses all command lines now (cli/command_line) and throws the project's error.

pomeloctl explain REQUEST LOG... is the name that operators expect for story, which stays. The owner of a key is asked for by pomeloctl owner SERVICE KEY; "explain SERVICE KEY" is still accepted unless KEY names a file.

--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -1,10 +1,10 @@
 #include "pomeloswitch/cli/daemon.hpp"
 
+#include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/observe/log.hpp"
 
 #include <boost/asio/signal_set.hpp>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 
 #include <csignal>
@@ -41,8 +41,8 @@
                                   std::string_view Purpose, int Argc,
                                   char **Argv) {
   const std::string Usage = fmt::format(UsageFormat, Name, Purpose);
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true,
-                                        std::string(Version));
+  const arguments Arguments =
+      parseCommandLine(Name, Usage, {Argv + 1, Argv + Argc}, Version);
   daemon_options Options;
   Options.SettingsFile = Arguments.at("--settings").asString();
   Options.CheckOnly = Arguments.at("--check-config").asBool();
--- a/src/pomeloswitch/cli/daemon.hpp
+++ b/src/pomeloswitch/cli/daemon.hpp
@@ -19,8 +19,8 @@
   bool CheckOnly = false;
 };
 
-//! Parses the command line \p Argc, \p Argv of the daemon \p Name. For --help,
-//! --version or a usage error, prints the text and exits the process.
+//! Parses the command line \p Argc, \p Argv of the daemon \p Name, as
+//! parseCommandLine() does.
 daemon_options parseDaemonOptions(std::string_view Name,
                                   std::string_view Purpose, int Argc,
                                   char **Argv);
--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/operator_commands.hpp"
 
 #include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/request_timeline.hpp"
 #include "pomeloswitch/cli/rpc_client.hpp"
 #include "pomeloswitch/errors/error_kind.hpp"
@@ -8,7 +9,6 @@
 #include "pomeloswitch/wire/secret_hash.hpp"
 
 #include <boost/json.hpp>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 
 #include <chrono>
@@ -25,8 +25,7 @@
 namespace json = boost::json;
 constexpr auto MaxInForceWait = std::chrono::seconds(10);
 constexpr int PendingExitCode = 17;
-
-using arguments = std::map<std::string, docopt::value>;
+constexpr std::string_view Version = "pomeloctl 0.1.0";
 
 constexpr const char *Usage = R"(pomeloctl: operates a pomeloswitch deployment.
 
@@ -40,8 +39,8 @@
   pomeloctl [options] key withdraw <key-id>
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
-  pomeloctl [options] explain SERVICE KEY
-  pomeloctl [options] story REQUEST LOG...
+  pomeloctl [options] owner SERVICE KEY
+  pomeloctl [options] (explain | story) REQUEST LOG...
   pomeloctl [options] host show ADDRESS
   pomeloctl [options] host explain ADDRESS SERVICE KEY
   pomeloctl [options] control list
@@ -66,8 +65,11 @@
   -h --help            Show this text.
   --version            Show the version.
 
-story prints the timeline of one request from the logs of several processes;
-REQUEST is the request id sent by the caller.
+owner prints which target owns a key, and since when. "explain SERVICE KEY", its
+earlier name, is still accepted unless KEY names a file.
+
+explain, or story, prints the timeline of one request from the logs of several
+processes; REQUEST is the request id sent by the caller.
 
 Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
 change; 4 version conflict; 5 not the leader; 6 no quorum, outcome unknown;
@@ -126,8 +128,7 @@
                             ? Arguments.at("--operation").asString()
                             : randomHex(12);
   if (Arguments.at("--base"))
-    Request.BaseVersion =
-        static_cast<std::uint64_t>(Arguments.at("--base").asLong());
+    Request.BaseVersion = wholeNumber(Arguments, "--base");
   return Request;
 }
 
@@ -182,6 +183,12 @@
                            json::serialize(Body));
 }
 
+admin_request ownerRequest(std::string_view Service, std::string_view Key) {
+  return makeReadRequest(fmt::format("/v1/explain?service={}&key={}",
+                                     percentEncoded(Service),
+                                     percentEncoded(Key)));
+}
+
 admin_request makeRequest(const arguments &Arguments) {
   if (hasArgument(Arguments, "inventory"))
     return documentRequest(Arguments, "/v1/inventory");
@@ -197,11 +204,12 @@
     return controlRequest(Arguments);
   if (hasArgument(Arguments, "snapshot"))
     return makeReadRequest("/v1/snapshot");
+  if (hasArgument(Arguments, "owner"))
+    return ownerRequest(Arguments.at("SERVICE").asString(),
+                        Arguments.at("KEY").asString());
   if (hasArgument(Arguments, "explain"))
-    return makeReadRequest(
-        fmt::format("/v1/explain?service={}&key={}",
-                    percentEncoded(Arguments.at("SERVICE").asString()),
-                    percentEncoded(Arguments.at("KEY").asString())));
+    return ownerRequest(Arguments.at("REQUEST").asString(),
+                        Arguments.at("LOG").asStringList().front());
   return makeReadRequest("/v1/status");
 }
 
@@ -299,13 +307,31 @@
   return 0;
 }
 
-int run(const arguments &Arguments) {
+//! Whether the command asks for a timeline. "explain SERVICE KEY" asks for the
+//! owner of a key.
+bool asksForTimeline(const arguments &Arguments) {
   if (hasArgument(Arguments, "story"))
-    return printTimeline(Arguments);
+    return true;
+  if (!hasArgument(Arguments, "explain"))
+    return false;
+  const auto &Logs = Arguments.at("LOG").asStringList();
+  return Logs.size() > 1 || std::filesystem::exists(Logs.front());
+}
+
+//! An option that the command does not use is checked as well.
+void checkOptions(const arguments &Arguments) {
+  if (Arguments.at("--base"))
+    wholeNumber(Arguments, "--base");
+}
+
+int run(const arguments &Arguments) {
+  checkOptions(Arguments);
   if (hasArgument(Arguments, "host")) {
     print(Arguments, queryEntryHost(Arguments));
     return 0;
   }
+  if (asksForTimeline(Arguments))
+    return printTimeline(Arguments);
   const admin_request Request = makeRequest(Arguments);
   admin_client Client = makeClient(Arguments);
   json::object Answer = Client.call(Request);
@@ -318,9 +344,9 @@
                                                                : 0;
 }
 
-int reportFailure(const arguments &Arguments, const pomelo_error &Failure) {
+int reportFailure(bool AsJson, const pomelo_error &Failure) {
   const error_answer &Answer = answerFor(Failure.kind());
-  if (hasArgument(Arguments, "--json"))
+  if (AsJson)
     fmt::print("{}\n",
                json::serialize(json::object{{"error", Answer.Name},
                                             {"message", Failure.what()}}));
@@ -332,24 +358,14 @@
 } // namespace
 
 int runOperatorCommand(const std::vector<std::string> &CommandLine) {
-  arguments Arguments;
-  try {
-    Arguments = docopt::docopt_parse(Usage, CommandLine, true, true);
-  } catch (const docopt::DocoptExitHelp &) {
-    fmt::print("{}", Usage);
-    return 0;
-  } catch (const docopt::DocoptExitVersion &) {
-    fmt::print("pomeloctl 0.1.0\n");
-    return 0;
-  } catch (const std::exception &) {
-    fmt::print(stderr, "pomeloctl: invalid command line; see "
-                       "pomeloctl --help\n");
-    return answerFor(error_kind::BadSettings).ExitCode;
-  }
+  bool AsJson = false;
   try {
+    const arguments Arguments =
+        parseCommandLine("pomeloctl", Usage, CommandLine, Version);
+    AsJson = hasArgument(Arguments, "--json");
     return run(Arguments);
   } catch (const pomelo_error &Failure) {
-    return reportFailure(Arguments, Failure);
+    return reportFailure(AsJson, Failure);
   }
 }
 
--- a/tools/caller/main.cpp
+++ b/tools/caller/main.cpp
@@ -1,9 +1,9 @@
 #include "caller/replay.hpp"
 #include "caller/trace_generator.hpp"
+#include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/daemon.hpp"
 
 #include <boost/json.hpp>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 
 #include <cstdio>
@@ -38,7 +38,8 @@
 The outcome of a replay is printed as JSON.
 )";
 
-using arguments = std::map<std::string, docopt::value>;
+constexpr std::uint64_t MaxTimeoutMs = 3'600'000;
+constexpr std::uint64_t MaxTraceSeconds = 86'400;
 
 std::vector<caller::entry_address> readEntries(const std::string &File) {
   std::vector<caller::entry_address> Entries;
@@ -59,9 +60,9 @@
       json::parse(readFile(Arguments.at("--keys").asString()));
   for (const auto &Item : Keys.as_object())
     Options.Keys[std::string(Item.key())] = Item.value().as_string();
-  Options.Timeout =
-      std::chrono::milliseconds(Arguments.at("--timeout-ms").asLong());
-  Options.Seed = static_cast<std::uint64_t>(Arguments.at("--seed").asLong());
+  Options.Timeout = std::chrono::milliseconds(
+      wholeNumber(Arguments, "--timeout-ms", MaxTimeoutMs));
+  Options.Seed = wholeNumber(Arguments, "--seed");
   const auto Outcomes = caller::runReplay(
       Options, caller::readTraceFile(Arguments.at("--trace").asString()));
   if (Arguments.at("--log")) {
@@ -78,14 +79,16 @@
       caller::findTraceShape(Arguments.at("--shape").asString());
   caller::writeTrace(
       std::cout,
-      caller::generateTrace(
-          Shape, std::chrono::seconds(Arguments.at("--seconds").asLong()),
-          static_cast<std::uint64_t>(Arguments.at("--seed").asLong())));
+      caller::generateTrace(Shape,
+                            std::chrono::seconds(wholeNumber(
+                                Arguments, "--seconds", MaxTraceSeconds)),
+                            wholeNumber(Arguments, "--seed")));
   return 0;
 }
 
 int runCommand(int Argc, char **Argv) {
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  const arguments Arguments =
+      parseCommandLine("pomelo-caller", Usage, {Argv + 1, Argv + Argc});
   return Arguments.at("generate").asBool() ? runGenerateCommand(Arguments)
                                            : runReplayCommand(Arguments);
 }
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -3,10 +3,10 @@
 #include "demo/demo_plan.hpp"
 #include "demo/outcome_table.hpp"
 #include "demo/timeline.hpp"
+#include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/daemon.hpp"
 
 #include <boost/json.hpp>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 
 #include <atomic>
@@ -42,6 +42,7 @@
 )";
 
 constexpr double MaxAddedMilliseconds = 5;
+constexpr std::uint64_t MaxControlHosts = 11;
 constexpr auto KeysInForceTimeout = std::chrono::seconds(10);
 
 std::atomic<bool> Interrupted{false};
@@ -155,13 +156,14 @@
 }
 
 int runDemo(int Argc, char **Argv) {
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  const arguments Arguments =
+      parseCommandLine("pomelo-demo", Usage, {Argv + 1, Argv + Argc});
   std::signal(SIGINT, onInterrupt);
   std::signal(SIGTERM, onInterrupt);
   demo::demo_plan Plan;
   Plan.SourceFolder = Arguments.at("--source").asString();
-  Plan.ControlHosts =
-      static_cast<unsigned>(Arguments.at("--control-hosts").asLong());
+  Plan.ControlHosts = static_cast<unsigned>(
+      wholeNumber(Arguments, "--control-hosts", MaxControlHosts));
   const std::filesystem::path Folder =
       std::filesystem::absolute(Arguments.at("--folder").asString());
   std::filesystem::remove_all(Folder);
--- a/tools/fault_proxy/main.cpp
+++ b/tools/fault_proxy/main.cpp
@@ -1,9 +1,9 @@
 #include "fault_proxy/fault_proxy.hpp"
+#include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/daemon.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 
 #include <boost/json.hpp>
-#include <docopt/docopt.h>
 
 using namespace pomelo;
 
@@ -22,7 +22,8 @@
 )";
 
 int serve(int Argc, char **Argv) {
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  const arguments Arguments =
+      parseCommandLine("fault-proxy", Usage, {Argv + 1, Argv + Argc});
   boost::asio::io_context Io{1};
   fault_proxy::proxy Proxy(Io,
                            parseEndpoint(Arguments.at("--control").asString()));
--- a/tools/standin_target/target_options.cpp
+++ b/tools/standin_target/target_options.cpp
@@ -1,7 +1,8 @@
 #include "standin_target/target_options.hpp"
 
-#include <docopt/docopt.h>
+#include "pomeloswitch/cli/command_line.hpp"
 
+#include <limits>
 #include <sstream>
 
 namespace pomelo::standin {
@@ -48,12 +49,14 @@
 } // namespace
 
 target_options parseTargetOptions(int Argc, char **Argv) {
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc}, true);
+  const arguments Arguments =
+      parseCommandLine("standin-target", Usage, {Argv + 1, Argv + Argc});
   const auto Text = [&](const char *Name) {
     return Arguments.at(Name) ? Arguments.at(Name).asString() : std::string();
   };
   const auto Number = [&](const char *Name) {
-    return static_cast<std::uint32_t>(Arguments.at(Name).asLong());
+    return static_cast<std::uint32_t>(wholeNumber(
+        Arguments, Name, std::numeric_limits<std::uint32_t>::max()));
   };
   target_options Options;
   Options.TargetId = Text("--id");
