Rates: tokens come by messages of their own, not by heartbeats

Cause: an account below 20/s for each host has no shares, and each of its tokens came with an answer to a whole heartbeat. Prompt heartbeats are as many ms apart as there are hosts, to spare the leader.

Now a host asks for the tokens of all accounts for which requests wait in one token_request, at once unless the leader has yet to answer an earlier message with quotas; the leader answers from its ledger alone. It renews no lease: what it grants ends with the answer to the latest heartbeat. An account that got less than it asked for is asked for again by heartbeats, paced as before, so the leader gets at most one token request for each admission and one more for each host and heartbeat. Requests are woken by the answer.

Tokens ahead go only to hosts at which an account comes again within a second, and count as spare: of 190 hosts most held, and reported five times a second, tokens of some 20 accounts that came once.

Ruled out: a shorter pause between heartbeats (measured before: it moves the cost to the leader).

The last check of account_that_is_used_no_more... lets another host touch the bucket first, since an account that nobody reports is not refilled until then.

--- a/src/pomeloswitch/admission/account_bucket.cpp
+++ b/src/pomeloswitch/admission/account_bucket.cpp
@@ -48,10 +48,28 @@
 
 bool account_bucket::admitArrival(time_point Now) {
   const std::lock_guard Lock(Mutex);
+  Recurring = Demand.rate(Now) >= MinDemand;
   Demand.recordArrival(Now);
   return take(Now);
 }
 
+bool account_bucket::hasToken(time_point Now) {
+  const std::lock_guard Lock(Mutex);
+  update(Now);
+  return Level >= 1 || heldBurst() >= 1;
+}
+
+bool account_bucket::hasShortage(time_point Now) {
+  const std::lock_guard Lock(Mutex);
+  update(Now);
+  return Waiting > Level + heldBurst();
+}
+
+bool account_bucket::askedInVain() const {
+  const std::lock_guard Lock(Mutex);
+  return AskedInVain;
+}
+
 bool account_bucket::admitWaiting(time_point Now) {
   const std::lock_guard Lock(Mutex);
   return take(Now);
@@ -106,6 +124,7 @@
   BurstTotal = Grant.BurstTotal;
   SurplusSeen = Grant.SurplusSeen;
   Exhausted = LeaderInformed && Grant.Exhausted;
+  AskedInVain = Grant.Exhausted;
   Decided = LeaderInformed;
   ValidUntil = Until;
   AnsweredAt = Now;
@@ -116,6 +135,7 @@
   const std::lock_guard Lock(Mutex);
   update(Now);
   ValidUntil = Until;
+  AskedInVain = false;
 }
 
 void account_bucket::beginEpoch(bool NewTerm, time_point Now) {
@@ -149,8 +169,19 @@
 
 account_report account_bucket::report(time_point Now) {
   const std::lock_guard Lock(Mutex);
-  update(Now);
+  account_report Report = makeReport(Now);
   Unreported = false;
+  return Report;
+}
+
+account_report account_bucket::tokenReport(time_point Now) {
+  const std::lock_guard Lock(Mutex);
+  AskedInVain = true;
+  return makeReport(Now);
+}
+
+account_report account_bucket::makeReport(time_point Now) {
+  update(Now);
   account_report Report;
   Report.Account = Account;
   Report.GrantId = GrantId;
@@ -163,17 +194,22 @@
   Report.BurstSpent = BurstSpent;
   Report.BurstReturned = BurstReturned;
   Report.Surplus = Surplus;
+  const double Shortfall = expectedShortfall(Report.Demand);
+  const bool HasShare = RatePerSecond > 0;
   Report.Wanted =
-      std::max(0.0, Waiting + expectedShortfall(Report.Demand) - heldBurst());
-  Report.Spare = spareTokens(Report);
+      std::max(0.0, Waiting + (HasShare ? Shortfall : 0) - heldBurst());
+  Report.Spare =
+      HasShare || Report.Demand == 0 || !Recurring ? 0 : spareTokens(Shortfall);
   return Report;
 }
 
 //! Without a share of the rate, the next request would wait for an answer of
-//! the leader. A token ahead is given back if none comes.
-double account_bucket::spareTokens(const account_report &Report) const {
-  const bool Covered = heldBurst() >= Waiting + 1;
-  return RatePerSecond > 0 || Report.Demand == 0 || Covered ? 0 : 1;
+//! the leader. Tokens ahead are given back if none comes, so there are some
+//! only where the latest requests came close together.
+double account_bucket::spareTokens(double Shortfall) const {
+  const double Ahead = std::max(1.0, Shortfall);
+  return std::max(0.0,
+                  Waiting + Ahead - std::max<double>(Waiting, heldBurst()));
 }
 
 bool account_bucket::isIdle(time_point Now) {
--- a/src/pomeloswitch/admission/account_bucket.hpp
+++ b/src/pomeloswitch/admission/account_bucket.hpp
@@ -24,6 +24,9 @@
   //! Counts a new request and admits it if a token is available.
   bool admitArrival(time_point Now);
 
+  //! Whether a request would be admitted now.
+  [[nodiscard]] bool hasToken(time_point Now);
+
   //! Tries to admit a waiting request that was counted on arrival.
   bool admitWaiting(time_point Now);
 
@@ -51,19 +54,28 @@
   //! only after the host has reported it.
   bool apply(const account_grant &Grant, bool LeaderInformed, time_point Until,
              time_point Now);
-  //! Extends what the bucket holds until \p Until.
+  //! Extends what the bucket holds until \p Until, after a heartbeat.
   void extend(time_point Until, time_point Now);
   //! Starts following a new ledger epoch: counters restart at zero and burst
   //! tokens are dropped.
   void beginEpoch(bool NewTerm, time_point Now);
   [[nodiscard]] account_report report(time_point Now);
+  //! Like report(), for a message between two heartbeats. The next heartbeat
+  //! reports again.
+  [[nodiscard]] account_report tokenReport(time_point Now);
+  //! Whether requests wait for more tokens than are here.
+  [[nodiscard]] bool hasShortage(time_point Now);
+  //! Whether a token report of the account has not brought all that it asked
+  //! for since the latest heartbeat was answered.
+  [[nodiscard]] bool askedInVain() const;
   //! Whether the account can be left out of reports.
   [[nodiscard]] bool isIdle(time_point Now);
 
 private:
   void update(time_point Now);
+  account_report makeReport(time_point Now);
   [[nodiscard]] double expectedShortfall(double DemandNow) const;
-  [[nodiscard]] double spareTokens(const account_report &Report) const;
+  [[nodiscard]] double spareTokens(double Shortfall) const;
   void giveBackUnused(double DemandNow);
   bool take(time_point Now);
 
@@ -79,12 +91,14 @@
   double Surplus = 0;     //!< Unused rate returned, requests.
   double SurplusSeen = 0; //!< Surplus confirmed by the leader.
   bool Exhausted = false;
+  bool AskedInVain = false;
   bool Decided = false; //!< The leader has decided in this epoch.
   //! Whether the leader needs another report to know the latest grant in use
   //! and the burst tokens spent.
   bool Unreported = false;
   unsigned Waiting = 0;
   demand_meter Demand;
+  bool Recurring = false; //!< The latest arrival met demand of earlier ones.
   time_point UpdatedAt{};
   time_point ValidUntil{};
   time_point AnsweredAt{};
--- a/src/pomeloswitch/admission/host_quota.cpp
+++ b/src/pomeloswitch/admission/host_quota.cpp
@@ -5,7 +5,6 @@
 namespace pomelo {
 namespace {
 
-constexpr std::chrono::milliseconds MinRequestInterval{20};
 //! Far more leader changes than can happen while an answer is in transit.
 constexpr std::size_t MaxFormerTerms = 64;
 
@@ -21,16 +20,12 @@
   return *Buckets.emplace(std::move(Name), std::move(Bucket)).first->second;
 }
 
-void host_quota::requestTokens(time_point Now) {
-  auto LastRequest = RequestedAt.load(std::memory_order_relaxed);
-  const auto NowCount = Now.time_since_epoch().count();
-  if (NowCount - LastRequest < time_point::duration(MinRequestInterval).count())
-    return;
-  if (RequestedAt.compare_exchange_strong(LastRequest, NowCount))
+void host_quota::requestTokens() {
+  if (!TokensRequested.exchange(true))
     OnShortage();
 }
 
-quota_report host_quota::report(time_point Now) {
+quota_report host_quota::emptyReport(time_point Now) const {
   quota_report Report;
   Report.Term = Term;
   Report.Epoch = Epoch;
@@ -38,6 +33,12 @@
   if (FormerLeaderAnsweredAt)
     Report.EarlierAnswerAge = std::chrono::floor<std::chrono::milliseconds>(
         Now - *FormerLeaderAnsweredAt);
+  return Report;
+}
+
+quota_report host_quota::report(time_point Now) {
+  TokensRequested = false;
+  quota_report Report = emptyReport(Now);
   const std::lock_guard Lock(Mutex);
   for (const auto &[Name, Bucket] : Buckets)
     if (!Bucket->isIdle(Now))
@@ -45,6 +46,23 @@
   return Report;
 }
 
+quota_report host_quota::tokenReport(time_point Now) {
+  TokensRequested = false;
+  quota_report Report = emptyReport(Now);
+  const std::lock_guard Lock(Mutex);
+  for (const auto &[Name, Bucket] : Buckets)
+    if (!Bucket->askedInVain() && Bucket->hasShortage(Now))
+      Report.Accounts.push_back(Bucket->tokenReport(Now));
+  return Report;
+}
+
+bool host_quota::hasShortage(time_point Now) {
+  const std::lock_guard Lock(Mutex);
+  return std::any_of(Buckets.begin(), Buckets.end(), [Now](const auto &Entry) {
+    return Entry.second->hasShortage(Now);
+  });
+}
+
 bool host_quota::isFormerTerm(std::uint64_t OtherTerm) const {
   return std::find(FormerTerms.begin(), FormerTerms.end(), OtherTerm) !=
          FormerTerms.end();
@@ -74,18 +92,31 @@
   const std::lock_guard Lock(Mutex);
   followLeader(Grant, Now);
   AnsweredAt = Now;
+  ValidUntil = Until;
   // Accounts that the answer does not name keep what they hold.
   for (const auto &[Name, Bucket] : Buckets)
     Bucket->extend(Until, Now);
-  bool Changed = Grant.KeepHeld;
-  for (const account_grant &Each : Grant.Accounts) {
-    const auto Found = Buckets.find(Each.Account);
-    if (Found == Buckets.end())
-      continue;
-    Changed =
-        Found->second->apply(Each, !Grant.KeepHeld, Until, Now) || Changed;
-  }
-  return Changed;
+  const bool Lowered = applyAccounts(Grant, Now);
+  return Lowered || Grant.KeepHeld;
+}
+
+bool host_quota::applyTokens(std::uint64_t Sequence, const quota_grant &Grant,
+                             time_point Now) {
+  if (Sequence <= LastSequence || Grant.Term != Term || Grant.Epoch != Epoch)
+    return false;
+  LastSequence = Sequence;
+  const std::lock_guard Lock(Mutex);
+  applyAccounts(Grant, Now);
+  return true;
+}
+
+//! Returns whether the rate of an account was lowered.
+bool host_quota::applyAccounts(const quota_grant &Grant, time_point Now) {
+  bool Lowered = false;
+  for (const account_grant &Each : Grant.Accounts)
+    if (const auto Found = Buckets.find(Each.Account); Found != Buckets.end())
+      Lowered |= Found->second->apply(Each, !Grant.KeepHeld, ValidUntil, Now);
+  return Lowered;
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/admission/host_quota.hpp
+++ b/src/pomeloswitch/admission/host_quota.hpp
@@ -23,8 +23,8 @@
 public:
   using time_point = account_bucket::time_point;
 
-  //! \p OnShortage requests an early heartbeat; it is called on the thread that
-  //! calls requestTokens().
+  //! \p OnShortage asks for tokens ahead of the next heartbeat; it is called on
+  //! the thread that calls requestTokens().
   explicit host_quota(std::function<void()> OnShortage)
       : OnShortage(std::move(OnShortage)) {}
 
@@ -32,30 +32,43 @@
   //! traffic threads can look it up once and keep the reference.
   account_bucket &bucket(std::string_view Account);
 
-  //! Requests an early heartbeat for waiting requests, unless one was
-  //! requested just before.
-  void requestTokens(time_point Now);
+  //! Asks for tokens for waiting requests, unless that has been asked since the
+  //! latest report.
+  void requestTokens();
 
   [[nodiscard]] quota_report report(time_point Now);
+  //! Reports the accounts with a shortage of which the leader may have tokens.
+  //! Of one that it had too few of it has more only after some time.
+  [[nodiscard]] quota_report tokenReport(time_point Now);
+  //! Whether requests wait for more tokens than are here.
+  [[nodiscard]] bool hasShortage(time_point Now);
 
   //! Applies the answer to heartbeat \p Sequence, valid until \p Until. Answers
   //! to earlier heartbeats and from former leaders are ignored. Returns whether
   //! the leader should soon receive confirmation of the answer.
   bool apply(std::uint64_t Sequence, const quota_grant &Grant, time_point Until,
              time_point Now);
+  //! Applies the answer to a token report. What it grants is valid as long as
+  //! the answer to the latest heartbeat. Ignored as by apply(), and in another
+  //! term or epoch. Returns whether it was applied.
+  bool applyTokens(std::uint64_t Sequence, const quota_grant &Grant,
+                   time_point Now);
 
 private:
+  [[nodiscard]] quota_report emptyReport(time_point Now) const;
+  bool applyAccounts(const quota_grant &Grant, time_point Now);
   [[nodiscard]] bool isFormerTerm(std::uint64_t OtherTerm) const;
   void followLeader(const quota_grant &Grant, time_point Now);
 
   std::function<void()> OnShortage;
-  std::atomic<time_point::rep> RequestedAt{0};
-  std::mutex Mutex; //!< Guards Buckets.
+  std::atomic<bool> TokensRequested{false}; //!< Since the latest report.
+  std::mutex Mutex;                         //!< Guards Buckets.
   std::map<std::string, std::unique_ptr<account_bucket>, std::less<>> Buckets;
   std::uint64_t LastSequence = 0;
   std::uint64_t Term = 0;
   std::uint64_t Epoch = 0;
   std::deque<std::uint64_t> FormerTerms;
+  time_point ValidUntil{}; //!< Of the answer to the latest heartbeat.
   std::optional<time_point> AnsweredAt; //!< Last answer of any leader.
   std::optional<time_point> FormerLeaderAnsweredAt; //!< By the previous leader.
 };
--- a/src/pomeloswitch/admission/rate_ledger.cpp
+++ b/src/pomeloswitch/admission/rate_ledger.cpp
@@ -10,6 +10,7 @@
   TermStartedAt = Now;
   TakeoverDone = false;
   LastEarlierGrantAt = {};
+  NextExpiryAt = {};
   Hosts.clear();
   Ledgers.clear();
   ConfiguredAccounts.clear();
@@ -63,9 +64,16 @@
 }
 
 void rate_ledger::expireHosts(mono_time Now) {
+  if (Now <= NextExpiryAt)
+    return;
+  const milliseconds Lease = Times.withDrift(Times.HostLease);
+  NextExpiryAt = Now + Lease;
   std::erase_if(Hosts, [&](const auto &Entry) {
-    if (Now - Entry.second.AnsweredAt <= Times.withDrift(Times.HostLease))
+    const mono_time ExpiresAt = Entry.second.AnsweredAt + Lease;
+    if (Now <= ExpiresAt) {
+      NextExpiryAt = std::min(NextExpiryAt, ExpiresAt);
       return false;
+    }
     for (auto &[Name, Ledger] : Ledgers)
       Ledger.expire(Entry.first, Now);
     return true;
@@ -132,41 +140,51 @@
       Ledger->second.acknowledge(Host, Account, Now);
 }
 
-quota_grant rate_ledger::grantAll(const host_incarnation &Host,
-                                  host_record &Record,
-                                  const quota_report &Report, mono_time Now) {
+//! While a new leader learns what hosts hold, hosts have only tokens of
+//! accounts whose rate is not divided: what they hold from the earlier leader
+//! became invalid with it or came out of its bucket.
+bool rate_ledger::mayGrant(const host_record &Record,
+                           const account_ledger &Ledger) const {
+  return Record.Inherited && (TakeoverDone || !Ledger.isShared());
+}
+
+quota_grant rate_ledger::grantReported(const host_incarnation &Host,
+                                       host_record &Record,
+                                       const quota_report &Report,
+                                       mono_time Now) {
   quota_grant Grant;
   Grant.Term = Term;
   Grant.Epoch = Record.Epoch;
   Grant.KeepHeld = !TakeoverDone || !Record.Inherited;
-  // If the rate is not divided, hosts hold only tokens from the earlier leader,
-  // which became invalid with it or came out of its bucket.
-  const auto MayGrant = [&](const account_ledger &Ledger) {
-    return !Grant.KeepHeld || (!Ledger.isShared() && Record.Inherited);
-  };
-  // A host may still hold an earlier grant of an account that it no longer
-  // reports; that grant is revoked.
-  std::set<std::string, std::less<>> Unreported =
-      std::exchange(Record.HeldAccounts, {});
   for (const account_report &Each : Report.Accounts) {
-    Unreported.erase(Each.Account);
     const auto Ledger = Ledgers.find(Each.Account);
     if (Ledger == Ledgers.end())
       continue;
     Record.HeldAccounts.insert(Each.Account);
-    if (MayGrant(Ledger->second))
+    if (mayGrant(Record, Ledger->second))
       Grant.Accounts.push_back(
           Ledger->second.grant(Host, Each.Account, NextGrantOrEpochId, Now));
   }
-  for (const std::string &Account : Unreported) {
+  return Grant;
+}
+
+//! A host may still hold an earlier grant of an account that it no longer
+//! reports; that grant is revoked.
+quota_grant rate_ledger::grantAll(const host_incarnation &Host,
+                                  host_record &Record,
+                                  const quota_report &Report, mono_time Now) {
+  const std::set<std::string, std::less<>> HeldBefore =
+      std::exchange(Record.HeldAccounts, {});
+  quota_grant Grant = grantReported(Host, Record, Report, Now);
+  for (const std::string &Account : HeldBefore) {
     const auto Ledger = Ledgers.find(Account);
-    if (Ledger == Ledgers.end())
+    if (Record.HeldAccounts.contains(Account) || Ledger == Ledgers.end())
       continue;
     Ledger->second.setIdle(Host);
     if (!Ledger->second.hasHoldings(Host))
       continue;
     Record.HeldAccounts.insert(Account);
-    if (MayGrant(Ledger->second))
+    if (mayGrant(Record, Ledger->second))
       Grant.Accounts.push_back(
           Ledger->second.grant(Host, Account, NextGrantOrEpochId, Now));
   }
@@ -192,4 +210,21 @@
   return grantAll(Host, Record, Report, Now);
 }
 
+std::optional<quota_grant>
+rate_ledger::answerTokens(const host_incarnation &Host,
+                          const quota_report &Report, mono_time Now) {
+  const auto Found = Hosts.find(Host);
+  if (Found == Hosts.end())
+    return std::nullopt;
+  host_record &Record = Found->second;
+  const bool Expired =
+      Now - Record.AnsweredAt > Times.withDrift(Times.HostLease);
+  if (Expired || !Record.Inherited || Report.Sequence <= Record.Sequence ||
+      Report.Term != Term || Report.Epoch != Record.Epoch)
+    return std::nullopt;
+  Record.Sequence = Report.Sequence;
+  processReport(Host, Record, Report, Now);
+  return grantReported(Host, Record, Report, Now);
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/admission/rate_ledger.hpp
+++ b/src/pomeloswitch/admission/rate_ledger.hpp
@@ -34,6 +34,14 @@
                                     std::span<const client_account> Accounts,
                                     const entry_map &Registered, mono_time Now);
 
+  //! Answers a token report of a host, which must be a member with a valid
+  //! lease, out of the ledgers as they are; renews nothing. Returns nothing if
+  //! the latest heartbeat of the host has to be answered first, or a later
+  //! report already was. The caller must send the answer immediately.
+  std::optional<quota_grant> answerTokens(const host_incarnation &Host,
+                                          const quota_report &Report,
+                                          mono_time Now);
+
   //! Returns the ledger of an account, or null if it has none.
   [[nodiscard]] const account_ledger *find(std::string_view Account) const;
 
@@ -57,6 +65,10 @@
   void endTakeover(bool AllReported, mono_time Now);
   void processReport(const host_incarnation &Host, host_record &Record,
                      const quota_report &Report, mono_time Now);
+  [[nodiscard]] bool mayGrant(const host_record &Record,
+                              const account_ledger &Ledger) const;
+  quota_grant grantReported(const host_incarnation &Host, host_record &Record,
+                            const quota_report &Report, mono_time Now);
   quota_grant grantAll(const host_incarnation &Host, host_record &Record,
                        const quota_report &Report, mono_time Now);
 
@@ -68,6 +80,7 @@
   //! earlier leader.
   mono_time LastEarlierGrantAt{};
   bool TakeoverDone = false;
+  mono_time NextExpiryAt{}; //!< No host expires before it.
   std::map<host_incarnation, host_record> Hosts;
   std::map<std::string, account_ledger, std::less<>> Ledgers;
   std::vector<client_account> ConfiguredAccounts;
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -36,9 +36,9 @@
 constexpr milliseconds ActivityLogInterval{5000};
 
 //! In the order of control_activity.
-constexpr std::array<std::string_view, 7> ActivityNames{
-    "heartbeats",       "target_reports", "commits", "log_batches",
-    "order_scheduling", "order_results",  "plans"};
+constexpr std::array<std::string_view, 8> ActivityNames{
+    "heartbeats",  "token_requests",   "target_reports", "commits",
+    "log_batches", "order_scheduling", "order_results",  "plans"};
 
 std::uint64_t unixNowMs() {
   return static_cast<std::uint64_t>(
@@ -254,6 +254,8 @@
   switch (Message.body_case()) {
   case wire::envelope::kHeartbeat:
     return onHeartbeat(Link, Message.heartbeat());
+  case wire::envelope::kTokenRequest:
+    return onTokenRequest(Link, Message.token_request());
   case wire::envelope::kSubscribe: {
     session &Session = *Sessions.at(Link);
     Session.Position = {
@@ -325,6 +327,23 @@
   Link->send(Answer);
 }
 
+//! The ledger knows which hosts have a lease; it came with a heartbeat.
+void control_host::onTokenRequest(const std::shared_ptr<peer_link> &Link,
+                                  const wire::token_request &Request) {
+  const activity_meter::timer Timer(Activity, HandleTokenRequest);
+  if (!Log->leadershipConfirmed())
+    return;
+  const auto Grant = Rates.answerTokens(
+      {Request.host_id(), Request.incarnation()},
+      decode(Request.quota(), Request.sequence()), steady_clock::now());
+  if (!Grant)
+    return;
+  wire::envelope Answer;
+  Answer.mutable_token_answer()->set_sequence(Request.sequence());
+  encode(*Grant, *Answer.mutable_token_answer()->mutable_quota());
+  Link->send(Answer);
+}
+
 void control_host::addQuotaGrant(const wire::heartbeat &Heartbeat,
                                  mono_time Now, wire::heartbeat_ack &Ack) {
   const auto Grant = Rates.answer(
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -34,6 +34,7 @@
 class heartbeat;
 class heartbeat_ack;
 class proposal;
+class token_request;
 } // namespace pomelo::wire
 
 namespace pomelo {
@@ -41,6 +42,7 @@
 //! What a control host spends its time on.
 enum control_activity : std::size_t {
   HandleHeartbeat,
+  HandleTokenRequest,
   HandleTargetReport,
   ApplyCommit,
   SendLog,
@@ -94,6 +96,8 @@
                  const wire::envelope &Message);
   void onHeartbeat(const std::shared_ptr<peer_link> &Link,
                    const wire::heartbeat &Heartbeat);
+  void onTokenRequest(const std::shared_ptr<peer_link> &Link,
+                      const wire::token_request &Request);
   void addQuotaGrant(const wire::heartbeat &Heartbeat, mono_time Now,
                      wire::heartbeat_ack &Ack);
   void recordTarget(target_status Status);
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -165,6 +165,8 @@
     onLogBatch(Host, Message.log_batch());
   else if (Message.has_heartbeat_ack())
     onAck(Host, Message.heartbeat_ack());
+  else if (Message.has_token_answer())
+    onTokenAnswer(Message.token_answer());
   else if (Message.has_proposal_result())
     Proposals.complete(Message.proposal_result());
 }
@@ -242,6 +244,7 @@
                                                         Sent->second);
   SentAt.erase(SentAt.begin(), std::next(Sent));
   Schedule.answered(Ack.sequence(), steady_clock::now());
+  Tokens.answered(Ack.sequence());
   armHeartbeatTimer();
   Leader = &Host;
   if (LogSource != &Host)
@@ -253,6 +256,36 @@
   if (Ack.has_quota())
     Callbacks.OnQuota(Ack, Until);
   Callbacks.OnAck(Ack);
+  sendTokenRequest();
+}
+
+void control_session::onTokenAnswer(const wire::token_answer &Answer) {
+  Tokens.answered(Answer.sequence());
+  Callbacks.OnTokens(Answer);
+  sendTokenRequest();
+}
+
+//! Without a known leader, heartbeats look for it and ask for tokens as well.
+void control_session::requestTokens() {
+  if (!Leader || !Schedule.leaderKnown(steady_clock::now()))
+    return sendHeartbeatSoon();
+  Tokens.want();
+  sendTokenRequest();
+}
+
+void control_session::sendTokenRequest() {
+  if (!Leader || !Tokens.due())
+    return;
+  wire::envelope Message;
+  auto *Request = Message.mutable_token_request();
+  Callbacks.AddTokenReport(*Request->mutable_quota());
+  if (Request->quota().accounts().empty())
+    return Tokens.clear();
+  Request->set_sequence(NextSequence++);
+  Request->set_host_id(Settings.HostId);
+  Request->set_incarnation(Incarnation);
+  if (Leader->Dialer->send(Message))
+    Tokens.sent(Request->sequence());
 }
 
 void control_session::takeLease() {
@@ -362,7 +395,8 @@
   Callbacks.AddLoads(*Heartbeat);
   HeartbeatBytes = Message.ByteSizeLong();
   const steady_time Now = steady_clock::now();
-  Schedule.sent(Now);
+  Schedule.sent(Heartbeat->sequence(), Now);
+  Tokens.sent(Heartbeat->sequence());
   SentAt[Heartbeat->sequence()] = lease_clock::now();
   if (SentAt.size() > MaxUnacknowledged)
     SentAt.erase(SentAt.begin());
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -6,6 +6,7 @@
 #include "pomeloswitch/entry/link_silence.hpp"
 #include "pomeloswitch/entry/pending_leases.hpp"
 #include "pomeloswitch/entry/proposal_table.hpp"
+#include "pomeloswitch/entry/token_schedule.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/settings/entry_settings.hpp"
@@ -27,7 +28,9 @@
 class heartbeat;
 class heartbeat_ack;
 class log_batch;
+class quota_report;
 class target_report;
+class token_answer;
 } // namespace pomelo::wire
 
 namespace pomelo {
@@ -51,6 +54,10 @@
     std::function<std::uint64_t()> QuiescedIndex;
     //! Adds the quota report to a heartbeat.
     std::function<void(wire::heartbeat &)> AddQuota;
+    //! Adds the report of the accounts that need tokens at once, if any.
+    std::function<void(wire::quota_report &)> AddTokenReport;
+    //! Called with the leader's answer to it.
+    std::function<void(const wire::token_answer &)> OnTokens;
     //! Adds the load reports if any changed since the last heartbeat.
     std::function<void(wire::heartbeat &)> AddLoads;
     //! Called with the leader's quota grant, which expires at the given time.
@@ -84,6 +91,8 @@
   void connectTo(const host_address &Control);
   //! Schedules a heartbeat ahead of the regular interval.
   void sendHeartbeatSoon();
+  //! Asks for tokens for the requests that wait for some.
+  void requestTokens();
   //! Reports in the following heartbeats that this host is stopping.
   void announceStopping() { Stopping = true; }
 
@@ -103,6 +112,8 @@
   bool restoreConfiguration(wire::command &Command);
   void onLogBatch(control_host &Host, const wire::log_batch &Batch);
   void onAck(control_host &Host, const wire::heartbeat_ack &Ack);
+  void onTokenAnswer(const wire::token_answer &Answer);
+  void sendTokenRequest();
   void applySnapshot(const wire::log_batch &Batch);
   void subscribe(control_host &Host);
   void sendHeartbeat();
@@ -125,8 +136,9 @@
   control_host *Leader = nullptr;    //!< Host that granted the last lease.
   boost::asio::steady_timer HeartbeatTimer;
   heartbeat_schedule Schedule;
-  steady_time TimerArmedFor{}; //!< When HeartbeatTimer expires.
-  std::uint64_t NextSequence = 1;
+  token_schedule Tokens;
+  steady_time TimerArmedFor{};      //!< When HeartbeatTimer expires.
+  std::uint64_t NextSequence = 1;   //!< Of heartbeats and token requests.
   std::map<std::uint64_t, lease_time> SentAt;
   pending_leases PendingLeases;
   lease_time LeaseUntil{};
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -81,7 +81,7 @@
     : Io(Io), Settings(std::move(GivenSettings)),
       Dialect(std::move(GivenDialect)),
       ReadinessPath(std::move(GivenReadinessPath)), Quota([this] {
-        asio::post(this->Io, [this] { Session->sendHeartbeatSoon(); });
+        asio::post(this->Io, [this] { Session->requestTokens(); });
       }),
       Spans("pomelo-entry", Settings.HostId, Settings.TraceFile), SpanTimer(Io),
       StopTimer(Io) {
@@ -153,6 +153,18 @@
     if (Quota.apply(Ack.sequence(), decode(Ack.quota()), toSteady(Until),
                     steady_clock::now()))
       Session->sendHeartbeatSoon();
+    wakeTokenWaiters();
+  };
+  Callbacks.AddTokenReport = [this](wire::quota_report &Report) {
+    const auto Now = steady_clock::now();
+    encode(Quota.tokenReport(Now), Report);
+    if (Report.accounts().empty() && Quota.hasShortage(Now))
+      Session->sendHeartbeatSoon();
+  };
+  Callbacks.OnTokens = [this](const wire::token_answer &Answer) {
+    if (Quota.applyTokens(Answer.sequence(), decode(Answer.quota()),
+                          steady_clock::now()))
+      wakeTokenWaiters();
   };
   return Callbacks;
 }
@@ -167,6 +179,11 @@
            toString(Threads.front()->address()));
 }
 
+void entry_host::wakeTokenWaiters() {
+  for (const auto &Thread : Threads)
+    Thread->wakeTokenWaiters();
+}
+
 void entry_host::onState(const cluster_state &State) {
   const auto View = makeRoutingView(State, Threads.size());
   for (const auto &Thread : Threads)
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -45,6 +45,7 @@
              std::string ReadinessPath);
 
   control_session::callbacks makeCallbacks();
+  void wakeTokenWaiters();
   void onState(const cluster_state &State);
   [[nodiscard]] std::uint64_t quiescedIndex() const;
   boost::asio::awaitable<text_response> handleOps(const text_request &Request);
--- a/src/pomeloswitch/entry/heartbeat_schedule.cpp
+++ b/src/pomeloswitch/entry/heartbeat_schedule.cpp
@@ -14,8 +14,8 @@
                       SentAt + Times.MinimumPerHost * static_cast<int>(Hosts)));
 }
 
-void heartbeat_schedule::sent(time_point Now) {
-  ++SentSequence;
+void heartbeat_schedule::sent(std::uint64_t Sequence, time_point Now) {
+  SentSequence = Sequence;
   SentAt = Now;
   Due = Now + Times.Regular;
 }
--- a/src/pomeloswitch/entry/heartbeat_schedule.hpp
+++ b/src/pomeloswitch/entry/heartbeat_schedule.hpp
@@ -33,10 +33,9 @@
   void setHostCount(std::size_t Count) { Hosts = Count; }
   //! Asks for a heartbeat ahead of the regular interval.
   void want(time_point Now);
-  //! Records that the next heartbeat was sent.
-  void sent(time_point Now);
-  //! Records the leader's answer to the heartbeat with the number \p Sequence;
-  //! the first one sent has the number 1.
+  //! Records that the heartbeat with the number \p Sequence was sent.
+  void sent(std::uint64_t Sequence, time_point Now);
+  //! Records the leader's answer to the heartbeat with the number \p Sequence.
   void answered(std::uint64_t Sequence, time_point Now);
 
   [[nodiscard]] time_point due() const { return Due; }
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -76,6 +76,12 @@
   });
 }
 
+void traffic_thread::wakeTokenWaiters() {
+  boost::asio::post(Io, [this] {
+    Context.TokenWaiters.wake(std::chrono::steady_clock::now());
+  });
+}
+
 void traffic_thread::announceEnd(std::chrono::steady_clock::time_point EndsAt) {
   boost::asio::post(Io, [this, EndsAt] { Context.EndsAt = EndsAt; });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -58,6 +58,10 @@
   //! Any thread: makes this thread obey what another one has heard.
   void adoptNotice(routing_target_ptr Target, const target_notice &Notice);
 
+  //! Any thread: lets the requests go on that wait for tokens, as far as there
+  //! are some.
+  void wakeTokenWaiters();
+
   //! Any thread: tells when the process ends. Requests that would hardly be
   //! finished by then are refused.
   void announceEnd(std::chrono::steady_clock::time_point EndsAt);
--- a/src/pomeloswitch/http/account_admission.cpp
+++ b/src/pomeloswitch/http/account_admission.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/errors/error_kind.hpp"
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -15,11 +16,12 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-//! Covers the least time between two heartbeats and a round trip to the leader.
+//! Covers the interval of heartbeats and a round trip to the leader.
 constexpr milliseconds MaxWait{250};
 //! A new leader answers within this time. Until it does, it is not known
 //! whether the account exceeds its rate.
 constexpr milliseconds MaxUnansweredWait{1000};
+//! Tokens from the leader wake the request earlier.
 constexpr milliseconds PollInterval{5};
 
 account_bucket &bucketOf(traffic_context &Context, std::string_view Account) {
@@ -49,6 +51,8 @@
                                   steady_time Deadline) {
   const waiting_request_guard WaitingGuard(Bucket);
   asio::steady_timer Timer(Context.Io);
+  const token_waiters::registration Registration(Context.TokenWaiters, Bucket,
+                                                 Timer);
   auto Now = steady_clock::now();
   const steady_time WaitStart = Now;
   steady_time WaitUntil = Now + MaxWait;
@@ -62,9 +66,10 @@
     // counted from that answer.
     if (Unanswered())
       WaitUntil = std::min(LatestWaitUntil, Now + MaxWait);
-    Context.Quota.requestTokens(Now);
+    Context.Quota.requestTokens();
     Timer.expires_at(std::min(Deadline, Now + PollInterval));
-    co_await Timer.async_wait(asio::use_awaitable);
+    boost::system::error_code Woken;
+    co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Woken));
     Now = steady_clock::now();
     if (Bucket.admitWaiting(Now))
       co_return true;
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -6,6 +6,7 @@
 #include "pomeloswitch/clock/lease_clock.hpp"
 #include "pomeloswitch/http/in_flight_table.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
+#include "pomeloswitch/http/token_waiters.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
 #include "pomeloswitch/observe/metrics.hpp"
 #include "pomeloswitch/observe/trace.hpp"
@@ -71,6 +72,7 @@
   const target_dialect &Dialect;
   //! This thread's cache of buckets of Quota, by client account.
   std::map<std::string, account_bucket *, std::less<>> Buckets;
+  token_waiters TokenWaiters;
   std::string ClusterSecret;
   std::shared_ptr<const routing_view> View = std::make_shared<routing_view>();
   upstream_pool Pool;
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -122,27 +122,147 @@
     exchange("a", A);
   }
   EXPECT_TRUE(A.report(Now).Accounts.empty());
+  arrive(B, 1);
+  exchange("b", B); // The bucket fills when it is used.
   EXPECT_EQ(Ledger.find("acc")->stored(), Burst);
 }
 
 //! Guards against a wait of each request for an answer of the leader.
 TEST_F(quota_rules, next_request_of_a_small_account_finds_a_token) {
   registerHosts(100);
-  Now += seconds(1);
+  for (unsigned Request = 0; Request < 2; ++Request) {
+    Now += milliseconds(400);
+    exchange("a", A);
+    ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
+    ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+    exchange("a", A);
+    ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
+    A.bucket("acc").endWait();
+  }
+  for (unsigned Request = 0; Request < 5; ++Request) {
+    Now += milliseconds(200);
+    exchange("a", A);
+    Now += milliseconds(200);
+    EXPECT_TRUE(A.bucket("acc").admitArrival(Now)) << Request;
+  }
+}
+
+//! Guards against tokens that lie, and are reported, at hosts which an account
+//! reaches once: with many hosts that is most of them.
+TEST_F(quota_rules, account_that_comes_once_is_given_no_token_ahead) {
+  registerHosts(100);
+  Now += seconds(2);
   exchange("a", A);
   ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
   ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
   exchange("a", A);
   ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
   A.bucket("acc").endWait();
-  for (unsigned Request = 0; Request < 5; ++Request) {
-    Now += milliseconds(200);
-    exchange("a", A);
-    Now += milliseconds(200);
-    EXPECT_TRUE(A.bucket("acc").admitArrival(Now)) << Request;
+  EXPECT_EQ(drain(A), 0U);
+  exchange("a", A);
+  Now += milliseconds(200);
+  EXPECT_TRUE(A.report(Now).Accounts.empty());
+}
+
+//! Guards against requests that wait for the next heartbeat: tokens come with
+//! the answer to a token report, and last as long as those of the heartbeat.
+TEST_F(quota_rules, token_report_brings_tokens_and_renews_nothing) {
+  registerHosts(100);
+  Now += seconds(1);
+  exchange("a", A);
+  const mono_time Answered = Now;
+  account_bucket &Bucket = A.bucket("acc");
+  Now += milliseconds(100);
+  ASSERT_FALSE(Bucket.admitArrival(Now));
+  ASSERT_TRUE(Bucket.beginWait(Now, milliseconds(100)));
+  quota_report Report = A.tokenReport(Now);
+  Report.Sequence = ++Sequence;
+  ASSERT_EQ(Report.Accounts.size(), 1U);
+  const auto Grant = Ledger.answerTokens({"a", 1}, Report, Now);
+  ASSERT_TRUE(Grant);
+  ASSERT_TRUE(A.applyTokens(Report.Sequence, *Grant, Now));
+  EXPECT_TRUE(Bucket.hasToken(Now));
+  EXPECT_TRUE(Bucket.hasToken(Answered + Lease - milliseconds(1)));
+  EXPECT_FALSE(Bucket.hasToken(Answered + Lease));
+  // The same and later answers hand out nothing more.
+  EXPECT_FALSE(A.applyTokens(Report.Sequence, *Grant, Now));
+  EXPECT_FALSE(Ledger.answerTokens({"a", 1}, Report, Now));
+}
+
+//! What may make the ledger leave a token report without an answer.
+struct unanswered_case {
+  std::string Name;
+  std::string Host = "a";
+  std::uint64_t Incarnation = 1;
+  milliseconds Later{0};
+  std::uint64_t AddToTerm = 0;
+  std::uint64_t AddToEpoch = 0;
+};
+
+void PrintTo(const unanswered_case &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class unanswered_token_report
+    : public quota_rules,
+      public testing::WithParamInterface<unanswered_case> {};
+
+TEST_P(unanswered_token_report, takes_nothing_from_the_bucket) {
+  const unanswered_case &Case = GetParam();
+  registerHosts(100);
+  exchange("a", A);
+  Now += Case.Later;
+  A.bucket("acc").admitArrival(Now);
+  ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+  quota_report Report = A.tokenReport(Now);
+  Report.Sequence = ++Sequence;
+  Report.Term += Case.AddToTerm;
+  Report.Epoch += Case.AddToEpoch;
+  const double Before = Ledger.find("acc")->stored();
+  EXPECT_FALSE(Ledger.answerTokens({Case.Host, Case.Incarnation}, Report, Now));
+  EXPECT_EQ(Ledger.find("acc")->stored(), Before);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_reason, unanswered_token_report,
+    testing::Values(unanswered_case{"unknown_host", "x"},
+                    unanswered_case{"other_incarnation", "a", 2},
+                    unanswered_case{"lease_ended", "a", 1, milliseconds(1300)},
+                    unanswered_case{"other_term", "a", 1, milliseconds(0), 1},
+                    unanswered_case{"other_epoch", "a", 1, milliseconds(0), 0,
+                                    1}));
+
+TEST_F(quota_rules, token_answer_of_another_term_or_epoch_is_ignored) {
+  registerHosts(100);
+  exchange("a", A);
+  ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
+  const quota_report Report = A.report(Now);
+  for (const auto &[Term, Epoch] : {std::pair{Report.Term + 1, Report.Epoch},
+                                    std::pair{Report.Term, Report.Epoch + 1}}) {
+    const quota_grant Other{
+        Term, Epoch, false, {{"acc", 1, 0, 0, 5, 0, false}}};
+    EXPECT_FALSE(A.applyTokens(++Sequence, Other, Now));
+    EXPECT_EQ(drain(A), 0U);
   }
 }
 
+//! Guards against a host that asks again and again for what the leader has not.
+TEST_F(quota_rules, account_that_asked_in_vain_asks_again_after_a_heartbeat) {
+  registerHosts(100);
+  exchange("a", A);
+  account_bucket &Bucket = A.bucket("acc");
+  for (unsigned Request = 0; Request < 2; ++Request) {
+    Bucket.admitArrival(Now);
+    ASSERT_TRUE(Bucket.beginWait(Now, milliseconds(100)));
+  }
+  EXPECT_EQ(A.tokenReport(Now).Accounts.size(), 1U);
+  EXPECT_TRUE(A.tokenReport(Now).Accounts.empty());
+  EXPECT_TRUE(A.hasShortage(Now));
+  Ledger.startTerm(2, Now);
+  exchange("a", A);
+  EXPECT_EQ(A.tokenReport(Now).Accounts.size(), 1U);
+}
+
 TEST_F(quota_rules, tokens_ahead_leave_half_of_the_burst_to_waiting_requests) {
   registerHosts(100);
   account_bucket &Bucket = A.bucket("acc");
--- a/tests/control/unreadable_command_test.cpp
+++ b/tests/control/unreadable_command_test.cpp
@@ -73,6 +73,8 @@
     Callbacks.QuiescedIndex = [] { return std::uint64_t(0); };
     Callbacks.AddQuota = Callbacks.AddLoads = [](wire::heartbeat &) {};
     Callbacks.OnQuota = [](const wire::heartbeat_ack &, lease_time) {};
+    Callbacks.AddTokenReport = [](wire::quota_report &) {};
+    Callbacks.OnTokens = [](const wire::token_answer &) {};
     Callbacks.OnLease = [](lease_time) {};
     Callbacks.OnOutdated = [] {};
     Callbacks.OnAck = [](const wire::heartbeat_ack &) {};
--- a/tests/entry/heartbeat_schedule_test.cpp
+++ b/tests/entry/heartbeat_schedule_test.cpp
@@ -39,8 +39,8 @@
     Schedule.want(Now);
     if (Schedule.due() > Now)
       continue;
-    Schedule.sent(Now);
-    Answers.emplace_back(++Sent, Now + GetParam().Delay);
+    Schedule.sent(++Sent, Now);
+    Answers.emplace_back(Sent, Now + GetParam().Delay);
   }
   const auto Expected = Duration / GetParam().Interval;
   EXPECT_NEAR(static_cast<double>(Sent), static_cast<double>(Expected),
@@ -57,7 +57,7 @@
 
 TEST(heartbeat_schedule, sends_a_wanted_heartbeat_ahead_of_the_regular_one) {
   heartbeat_schedule Schedule;
-  Schedule.sent(Start);
+  Schedule.sent(1, Start);
   Schedule.answered(1, Start + milliseconds(2));
   EXPECT_EQ(Schedule.due(), Start + heartbeat_times().Regular);
   Schedule.want(Start + milliseconds(120));
@@ -67,9 +67,9 @@
 
 TEST(heartbeat_schedule, sends_what_was_wanted_once_the_leader_has_answered) {
   heartbeat_schedule Schedule;
-  Schedule.sent(Start);
+  Schedule.sent(1, Start);
   Schedule.answered(1, Start + milliseconds(2));
-  Schedule.sent(Start + milliseconds(200));
+  Schedule.sent(2, Start + milliseconds(200));
   Schedule.want(Start + milliseconds(210));
   EXPECT_EQ(Schedule.due(), Start + milliseconds(400));
   Schedule.answered(2, Start + milliseconds(350));
@@ -80,7 +80,7 @@
 TEST(heartbeat_schedule, counts_a_silent_leader_as_lost) {
   heartbeat_schedule Schedule;
   EXPECT_FALSE(Schedule.leaderKnown(Start));
-  Schedule.sent(Start);
+  Schedule.sent(1, Start);
   Schedule.answered(1, Start);
   EXPECT_TRUE(Schedule.leaderKnown(Start + milliseconds(399)));
   EXPECT_FALSE(Schedule.leaderKnown(Start + milliseconds(400)));
