Heartbeats: early only where somebody waits, members told once

Cause: control_session asked for a prompt heartbeat after every batch of entries. Only operators' changes, and revocations from owners that do not check fencing tokens, are waited for at all entry hosts (state/command_urgency, beside what decides which entries are sent at once). Hosts without a lease still hurry. A heartbeat names the members that its host knows by a hash; answers name them only if they differ.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -5,8 +5,10 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
+#include "pomeloswitch/state/command_urgency.hpp"
 #include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch/state/configuration_packing.hpp"
+#include "pomeloswitch/state/key_slot.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -53,24 +55,6 @@
   return (std::uint64_t{Device()} << 32) | Device();
 }
 
-//! Whether entry hosts should learn of the command at once: what they may do
-//! has been restricted, or an operator waits for it to be in force.
-bool isUrgent(const wire::command &Command) {
-  switch (Command.body_case()) {
-  case wire::command::kSetInventory:
-  case wire::command::kSetRules:
-  case wire::command::kIssueKey:
-  case wire::command::kWithdrawKey:
-  case wire::command::kSetDrain:
-  case wire::command::kReplaceConfiguration:
-  case wire::command::kTargetLeaving:
-  case wire::command::kReportCrash:
-    return true;
-  default:
-    return false;
-  }
-}
-
 lease_times leaseTimesOf(const control_settings &Settings) {
   lease_times Times;
   Times.HostLease = milliseconds(Settings.HostLeaseMs);
@@ -280,11 +264,7 @@
   wire::envelope Answer;
   auto *Ack = Answer.mutable_heartbeat_ack();
   Ack->set_sequence(Heartbeat.sequence());
-  for (const control_member &Member : Log->members()) {
-    auto *AckMember = Ack->add_control_hosts();
-    AckMember->set_id(Member.HostId);
-    AckMember->set_address(Member.Address);
-  }
+  addMembers(Heartbeat, *Ack);
   // The answer shows that the link is alive, even without a lease.
   if (!Log->leadershipConfirmed())
     return Link->send(Answer);
@@ -327,6 +307,27 @@
   Link->send(Answer);
 }
 
+void control_host::updateMembers() {
+  Members = Log->members();
+  std::string Text;
+  for (const control_member &Member : Members)
+    Text.append(Member.HostId).append(" ").append(Member.Address).append("\n");
+  MembersHash = stableHash(Text);
+}
+
+//! A host that knows the members already is not told again.
+void control_host::addMembers(const wire::heartbeat &Heartbeat,
+                              wire::heartbeat_ack &Ack) const {
+  Ack.set_members_hash(MembersHash);
+  if (Heartbeat.members_hash() == MembersHash)
+    return;
+  for (const control_member &Member : Members) {
+    auto *AckMember = Ack.add_control_hosts();
+    AckMember->set_id(Member.HostId);
+    AckMember->set_address(Member.Address);
+  }
+}
+
 //! The ledger knows which hosts have a lease; it came with a heartbeat.
 void control_host::onTokenRequest(const std::shared_ptr<peer_link> &Link,
                                   const wire::token_request &Request) {
@@ -411,6 +412,7 @@
     if (Error)
       return;
     const mono_time Now = steady_clock::now();
+    updateMembers();
     MostTickDelay = std::max(MostTickDelay, Now - Ticker.expiry());
     lead(Now);
     forwardReports();
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pomelo::wire {
 class envelope;
@@ -108,6 +109,9 @@
   void sendLog(peer_link &Link, session &Session);
   void sendLogToAll(mono_time Now);
   void scheduleSendLog();
+  void updateMembers();
+  void addMembers(const wire::heartbeat &Heartbeat,
+                  wire::heartbeat_ack &Ack) const;
   void tick();
   void lead(mono_time Now);
   [[nodiscard]] bool planDue(mono_time Now) const;
@@ -134,6 +138,9 @@
   std::unique_ptr<target_caller> Caller; //!< Null if targets are not called.
   std::uint64_t OrderTerm = 0; //!< Recognizes results of earlier terms.
   std::map<std::uint64_t, apply_result> Results;
+  //! Members of the control group at the latest tick, and a hash of them.
+  std::vector<control_member> Members;
+  std::uint64_t MembersHash = 0;
   //! Reports that the next tick forwards to the leader, by target id.
   std::map<std::string, target_status> ReportsToForward;
   std::map<std::shared_ptr<peer_link>, std::unique_ptr<session>> Sessions;
--- a/src/pomeloswitch/entry/control_session.cpp
+++ b/src/pomeloswitch/entry/control_session.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/entry/control_session.hpp"
 
+#include "pomeloswitch/state/command_urgency.hpp"
 #include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch/state/configuration_difference.hpp"
 #include "pomeloswitch/wire/packing.hpp"
@@ -181,6 +182,7 @@
   if (Snapshot.index() <= State.index())
     return;
   State = cluster_state::fromSnapshot(Snapshot);
+  ConfirmationAwaited = true;
   Log.info("Installed a state snapshot at index {}.", State.index());
 }
 
@@ -200,23 +202,34 @@
   }
 }
 
+//! Returns false if entries are missing or one can't be read; the log is then
+//! asked for again.
+bool control_session::applyEntries(control_host &Host,
+                                   const wire::log_batch &Batch) {
+  for (const auto &Entry : Batch.entries()) {
+    if (Entry.index() <= State.index())
+      continue;
+    wire::command Command;
+    const bool Next = Entry.index() == State.index() + 1;
+    if (Next)
+      Command = readCommitted(Entry.index(), Entry.command());
+    if (!Next || !restoreConfiguration(Command)) {
+      subscribe(Host);
+      return false;
+    }
+    State.apply(Entry.index(), Command);
+    ConfirmationAwaited |= awaitsEntryHosts(State, Command);
+  }
+  return true;
+}
+
 void control_session::onLogBatch(control_host &Host,
                                  const wire::log_batch &Batch) {
   if (&Host != LogSource)
     return;
   const std::uint64_t Before = State.index();
   applySnapshot(Batch);
-  for (const auto &Entry : Batch.entries()) {
-    if (Entry.index() <= State.index())
-      continue;
-    if (Entry.index() != State.index() + 1)
-      return subscribe(Host);
-    wire::command Command = readCommitted(Entry.index(), Entry.command());
-    if (!restoreConfiguration(Command))
-      return subscribe(Host);
-    State.apply(Entry.index(), Command);
-  }
-  if (State.index() == Before)
+  if (!applyEntries(Host, Batch) || State.index() == Before)
     return;
   if (!LeaseWasValid)
     Log.event(log_level::Info, "state_read",
@@ -228,12 +241,14 @@
   Schedule.setHostCount(State.entryHosts().size());
   Callbacks.OnState(State);
   takeLease();
-  sendHeartbeatSoon();
+  if (ConfirmationAwaited || lease_clock::now() >= LeaseUntil)
+    sendHeartbeatSoon();
 }
 
 void control_session::onAck(control_host &Host,
                             const wire::heartbeat_ack &Ack) {
   discoverMembers(Ack);
+  MembersHash = Ack.members_hash();
   if (Ack.lease_ms() == 0)
     return;
   const auto Sent = SentAt.find(Ack.sequence());
@@ -389,6 +404,7 @@
   Heartbeat->set_applied_index(OldestAdopted.Index);
   Heartbeat->set_config_version(OldestAdopted.ConfigVersion);
   Heartbeat->set_stopping(Stopping);
+  Heartbeat->set_members_hash(MembersHash);
   for (auto &[Id, Report] : Reports)
     *Heartbeat->add_targets() = *Report;
   Callbacks.AddQuota(*Heartbeat);
@@ -397,6 +413,7 @@
   const steady_time Now = steady_clock::now();
   Schedule.sent(Heartbeat->sequence(), Now);
   Tokens.sent(Heartbeat->sequence());
+  ConfirmationAwaited = false;
   SentAt[Heartbeat->sequence()] = lease_clock::now();
   if (SentAt.size() > MaxUnacknowledged)
     SentAt.erase(SentAt.begin());
--- a/src/pomeloswitch/entry/control_session.hpp
+++ b/src/pomeloswitch/entry/control_session.hpp
@@ -115,6 +115,7 @@
   void onTokenAnswer(const wire::token_answer &Answer);
   void sendTokenRequest();
   void applySnapshot(const wire::log_batch &Batch);
+  bool applyEntries(control_host &Host, const wire::log_batch &Batch);
   void subscribe(control_host &Host);
   void sendHeartbeat();
   void scheduleProposalExpiry();
@@ -138,6 +139,8 @@
   heartbeat_schedule Schedule;
   token_schedule Tokens;
   steady_time TimerArmedFor{};      //!< When HeartbeatTimer expires.
+  std::uint64_t MembersHash = 0;    //!< heartbeat_ack.members_hash.
+  bool ConfirmationAwaited = false; //!< Of an entry applied since a heartbeat.
   std::uint64_t NextSequence = 1;   //!< Of heartbeats and token requests.
   std::map<std::uint64_t, lease_time> SentAt;
   pending_leases PendingLeases;
--- a/tests/control/unreadable_command_test.cpp
+++ b/tests/control/unreadable_command_test.cpp
@@ -1,22 +1,13 @@
 //! Commands in the log that cannot be read, and changes that would write one.
-#include "pomeloswitch/control/control_host.hpp"
+#include "control/control_host_fixture.hpp"
 #include "pomeloswitch/entry/control_session.hpp"
-#include "pomeloswitch/raft/local_log.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
-#include <boost/json/parse.hpp>
-#include <gtest/gtest.h>
-
-#include <chrono>
 #include <optional>
 
 namespace pomelo {
 namespace {
 
-using std::chrono::seconds;
-
-constexpr const char *Secret = "secret of this test only";
-
 wire::command makeDrain(const std::string &FailureDomain) {
   wire::command Command;
   Command.mutable_set_drain()->set_name(FailureDomain);
@@ -32,41 +23,19 @@
   return Command;
 }
 
-class unreadable_fixture : public testing::Test {
+class unreadable_fixture : public control_host_fixture {
 protected:
-  unreadable_fixture() {
-    control_settings Settings;
-    Settings.HostId = "c1";
-    Settings.PeerAddress = Settings.AdminAddress = "127.0.0.1:0";
-    Settings.ClusterSecret = Secret;
-    Control = control_host::builder()
-                  .withIo(Io)
-                  .withSettings(std::move(Settings))
-                  .withLog(std::make_unique<local_log>("c1"))
-                  .build();
-    Control->start();
-  }
-
   //! Appends \p Bytes whatever they are, as another version might.
   void append(const std::string &Bytes) {
     Control->log().propose(Bytes, [](const proposal_outcome &) {});
   }
 
-  template <typename Predicate> bool runUntil(Predicate Condition) {
-    const auto Deadline = std::chrono::steady_clock::now() + seconds(5);
-    while (!Condition() && std::chrono::steady_clock::now() < Deadline)
-      Io.run_one_for(seconds(1));
-    return Condition();
-  }
-
   //! Expects that an entry host that starts now reads the state to its end.
   void expectEntryHostFollows() {
     entry_settings Settings;
     Settings.HostId = "e1";
     Settings.ClusterSecret = Secret;
-    const auto Description = boost::json::parse(Control->describe());
-    Settings.ControlHosts = {
-        {"c1", std::string(Description.at("peer_address").as_string())}};
+    Settings.ControlHosts = {{"c1", peerAddress()}};
     control_session::callbacks Callbacks;
     Callbacks.OnState = [](const cluster_state &) {};
     Callbacks.OldestAdopted = [] { return adopted_state(); };
@@ -86,9 +55,6 @@
     Control->stop();
     Io.run_for(std::chrono::milliseconds(100));
   }
-
-  boost::asio::io_context Io;
-  std::unique_ptr<control_host> Control;
 };
 
 struct unreadable_case {
