Hot owners: few hosts find their part by themselves; a wait for spacing is none

Cause: a request that is spaced out is often served a moment later, since its keys move or the window grows, so the wait was not known to be in vain. And the leader's estimate is a second old; hosts whose windows can follow a target know more. They can unless the least windows of all hosts exceed its slots.

--- a/src/pomeloswitch/ownership/overloaded_owners.cpp
+++ b/src/pomeloswitch/ownership/overloaded_owners.cpp
@@ -10,6 +10,16 @@
 //! alone explains the rate of one period, and each host's window suffices.
 constexpr double OverloadFactor = 1.5;
 
+//! Least window of an entry host on a target, requests; see
+//! routing/target_statistics.
+constexpr double LeastWindow = 0.1;
+
+//! Whether all entry hosts together may keep the target within its slots.
+bool boundByWindows(const cluster_state &State, const target_member &Target) {
+  return static_cast<double>(State.entryHosts().size()) * LeastWindow <=
+         Target.Slots;
+}
+
 //! Returns the mean time of a request at the targets of a service, s; 0 if it
 //! is not known of any.
 double averageSeconds(const cluster_state &State, const load_table &Loads,
@@ -46,7 +56,8 @@
       Loads.latestRates(Service, Slots->size(), Now);
   for (const auto &[Owner, PerSecond] : ratesOfOwners(*Slots, Rates)) {
     const auto Target = State.targets().find(Owner);
-    if (Target == State.targets().end())
+    if (Target == State.targets().end() ||
+        boundByWindows(State, Target->second))
       continue;
     const double Known = Loads.requestSeconds(Owner);
     const double Capacity = std::max<std::uint32_t>(1, Target->second.Slots) /
--- a/src/pomeloswitch/ownership/overloaded_owners.hpp
+++ b/src/pomeloswitch/ownership/overloaded_owners.hpp
@@ -18,7 +18,9 @@
 //! Returns the owners that get far more requests than their slots and their
 //! measured speed allow, the most overloaded first, at most
 //! MaxOverloadedOwners. Targets whose speed is not known count as average;
-//! without any known speed the result is empty.
+//! without any known speed the result is empty. Owners that the entry hosts'
+//! own windows can bound are left to them: these know the target's state
+//! sooner.
 [[nodiscard]] std::vector<owner_share>
 findOverloadedOwners(const cluster_state &State, const load_table &Loads,
                      mono_time Now);
--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -90,15 +90,8 @@
          Minimum.count() + Limits.UnresponsiveLatencies * Record.AverageSeconds;
 }
 
-//! Time until a window below one admits the next request; not positive if it
-//! does now.
-std::chrono::duration<double>
-target_statistics::spacingLeft(const record &Record, double Window,
-                               time_point Now) {
-  const std::chrono::duration<double> Since = Now - Record.SentAt;
-  const std::chrono::duration<double> Spacing(
-      std::max(DefaultSeconds, Record.AverageSeconds) / Window);
-  return Spacing - Since;
+double target_statistics::windowOf(const record &Record, bool Bounded) {
+  return Bounded ? std::max(1.0, Record.Window) : Record.Window;
 }
 
 bool target_statistics::hasRoom(const routing_target &Target, time_point Now,
@@ -108,10 +101,13 @@
     return true;
   if (isUnresponsive(*Record, Now))
     return false;
-  const double Window = std::max(Record->Window, Bounded ? 1.0 : 0.0);
+  const double Window = windowOf(*Record, Bounded);
   if (Record->InFlight > 0)
     return Record->InFlight + 1 <= Window;
-  return Window >= 1 || spacingLeft(*Record, Window, Now).count() <= 0;
+  const std::chrono::duration<double> Since = Now - Record->SentAt;
+  return Window >= 1 ||
+         Since.count() >=
+             std::max(DefaultSeconds, Record->AverageSeconds) / Window;
 }
 
 void target_statistics::backOff(record &Record, milliseconds BaseBackoff,
@@ -194,18 +190,13 @@
 
 std::chrono::duration<double>
 target_statistics::expectedWait(const routing_target &Target, std::size_t Ahead,
-                                time_point Now, bool Bounded) const {
+                                bool Bounded) const {
   const record *Record = find(Target);
   if (!Record || Record->Window == 0)
     return {};
-  const double Window = std::max(Record->Window, Bounded ? 1.0 : 0.0);
   const double Average = std::max(DefaultSeconds, Record->AverageSeconds);
-  const std::chrono::duration<double> OfOthers(static_cast<double>(Ahead) *
-                                               Average / Window);
-  if (Record->InFlight > 0 || Window >= 1)
-    return OfOthers;
-  return OfOthers + std::max(std::chrono::duration<double>(0),
-                             spacingLeft(*Record, Window, Now));
+  return std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
+                                       windowOf(*Record, Bounded));
 }
 
 double target_statistics::score(const routing_target &Target,
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -89,7 +89,7 @@
   //! Expected wait for the target when \p Ahead other requests are queued
   //! before this one, estimated from this host's window.
   [[nodiscard]] std::chrono::duration<double>
-  expectedWait(const routing_target &Target, std::size_t Ahead, time_point Now,
+  expectedWait(const routing_target &Target, std::size_t Ahead,
                bool Bounded = false) const;
   //! Load estimate: average latency scaled by the outstanding requests per
   //! slot, the reported slowdown and the failure rate. Lower is better.
@@ -124,8 +124,7 @@
 
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
-  [[nodiscard]] static std::chrono::duration<double>
-  spacingLeft(const record &Record, double Window, time_point Now);
+  [[nodiscard]] static double windowOf(const record &Record, bool Bounded);
   [[nodiscard]] bool isUnresponsive(const record &Record, time_point Now) const;
   record &recordOf(const routing_target &Target);
   void adjustWindow(record &Record, bool Room) const;
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -213,8 +213,8 @@
   const std::size_t Ahead = Position->requestsAhead();
   const std::chrono::duration<double> Quiet =
       State.Notices.of(Target).WantsNothingUntil - Now;
-  const auto Expected = std::max(
-      State.Statistics.expectedWait(Target, Ahead, Now, Bounded), Quiet);
+  const auto Expected =
+      std::max(State.Statistics.expectedWait(Target, Ahead, Bounded), Quiet);
   if (Now + Expected <= WaitDeadline)
     return;
   const auto HalfWait = std::chrono::duration_cast<milliseconds>(Expected / 2);
