--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -110,6 +110,9 @@
   void sendLog(peer_link &Link, session &Session);
   void sendLogToAll(mono_time Now);
   void scheduleSendLog();
+  void recordTargetReports(const wire::heartbeat &Heartbeat, mono_time Now,
+                           wire::heartbeat_ack &Ack);
+  void addOverloadedOwners(wire::heartbeat_ack &Ack) const;
   void updateMembers();
   void addMembers(const wire::heartbeat &Heartbeat,
                   wire::heartbeat_ack &Ack) const;
