--- a/src/pomeloswitch/control/control_host_heartbeats.cpp
+++ b/src/pomeloswitch/control/control_host_heartbeats.cpp
@@ -6,7 +6,6 @@
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <chrono>
-#include <utility>
 
 namespace pomelo {
 namespace {
--- a/src/pomeloswitch/ownership/overloaded_owners.cpp
+++ b/src/pomeloswitch/ownership/overloaded_owners.cpp
@@ -1,5 +1,7 @@
 #include "pomeloswitch/ownership/overloaded_owners.hpp"
 
+#include "pomeloswitch/routing/target_statistics.hpp"
+
 #include <algorithm>
 #include <map>
 
@@ -10,12 +12,10 @@
 //! alone explains the rate of one period, and each host's window suffices.
 constexpr double OverloadFactor = 1.5;
 
-//! Least window of an entry host on a target, requests; see
-//! routing/target_statistics.
-constexpr double LeastWindow = 0.1;
-
-//! Whether all entry hosts together may keep the target within its slots.
+//! Whether the least windows of all entry hosts together keep the target within
+//! its slots.
 bool boundByWindows(const cluster_state &State, const target_member &Target) {
+  const double LeastWindow = target_statistics_limits().MinWindow;
   return static_cast<double>(State.entryHosts().size()) * LeastWindow <=
          Target.Slots;
 }
--- a/tests/admission/quota_rules_test.cpp
+++ b/tests/admission/quota_rules_test.cpp
@@ -56,6 +56,15 @@
       Quota.bucket("acc").admitArrival(Now);
   }
 
+  //! A request at host "a" finds no token and gets one by a heartbeat.
+  void admitAfterWait() {
+    ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
+    ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
+    exchange("a", A);
+    ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
+    A.bucket("acc").endWait();
+  }
+
   //! Creates enough demand for \p Quota to lease the whole rate.
   void occupy(const std::string &Host, host_quota &Quota) {
     for (unsigned Round = 0; Round < 10; ++Round) {
@@ -133,11 +142,7 @@
   for (unsigned Request = 0; Request < 2; ++Request) {
     Now += milliseconds(400);
     exchange("a", A);
-    ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
-    ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
-    exchange("a", A);
-    ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
-    A.bucket("acc").endWait();
+    ASSERT_NO_FATAL_FAILURE(admitAfterWait());
   }
   for (unsigned Request = 0; Request < 5; ++Request) {
     Now += milliseconds(200);
@@ -153,11 +158,7 @@
   registerHosts(100);
   Now += seconds(2);
   exchange("a", A);
-  ASSERT_FALSE(A.bucket("acc").admitArrival(Now));
-  ASSERT_TRUE(A.bucket("acc").beginWait(Now, milliseconds(100)));
-  exchange("a", A);
-  ASSERT_TRUE(A.bucket("acc").admitWaiting(Now));
-  A.bucket("acc").endWait();
+  ASSERT_NO_FATAL_FAILURE(admitAfterWait());
   EXPECT_EQ(drain(A), 0U);
   exchange("a", A);
   Now += milliseconds(200);
