--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds PlayTime{50000};
 constexpr milliseconds BetweenAttempts{2000};
 constexpr milliseconds BetweenOthers{100};
+constexpr int OtherClients = 6;
 constexpr seconds Contact{3}; //!< contact_s
 constexpr int CrashesBefore = 3;
 constexpr int RetriesAllowed = 3;
@@ -69,6 +70,15 @@
     }
   }
 
+  //! How many other requests ran on endpoints when these crashed.
+  [[nodiscard]] std::size_t lostOthers() const {
+    std::size_t Lost = 0;
+    for (const auto &Endpoint : Gone)
+      for (const run_entry &Run : Endpoint->runs())
+        Lost += Run.Dropped && Run.RequestId.starts_with("other-") ? 1 : 0;
+    return Lost;
+  }
+
   //! When endpoints began to run requests whose ids begin with \p Prefix.
   [[nodiscard]] std::vector<clock::time_point>
   beginnings(const std::string &Prefix) const {
@@ -128,8 +138,7 @@
 
 bool play(record &Record) {
   deployment Deployment(threePlaces(), Record);
-  simple_configuration Configuration;
-  Configuration.Kind = "safe";
+  const simple_configuration Configuration;
   if (!Deployment.replaceConfiguration(configurationText(Configuration),
                                        seconds(10)) ||
       !Deployment.awaitReady(seconds(10)))
@@ -139,8 +148,12 @@
   const auto End = clock::now() + PlayTime;
   std::thread Crasher =
       clientThread(Deployment, "crash-", CrashingBody, BetweenAttempts, End);
-  std::thread Other =
-      clientThread(Deployment, "other-", "a sound request", BetweenOthers, End);
+  std::vector<std::thread> Others;
+  Others.reserve(OtherClients);
+  for (int Number = 0; Number < OtherClients; ++Number)
+    Others.push_back(clientThread(Deployment,
+                                  "other-" + std::to_string(Number) + "-",
+                                  "a sound request", BetweenOthers, End));
   while (clock::now() < End) {
     Park.tend();
     std::this_thread::sleep_for(milliseconds(2));
@@ -151,13 +164,16 @@
     std::this_thread::sleep_for(milliseconds(2));
   }
   Crasher.join();
-  Other.join();
+  for (std::thread &Other : Others)
+    Other.join();
   const auto Beginnings = Park.beginnings("crash-");
   const int Late = lateRetries(Beginnings);
   Record.write("judge", "the request reached endpoints " +
                             std::to_string(Beginnings.size()) + " times, " +
                             std::to_string(Late) +
-                            " of them later than contact_s after the third");
+                            " of them later than contact_s after the third; " +
+                            std::to_string(Park.lostOthers()) +
+                            " other requests were lost in the crashes");
   if (!troubled() || Late <= RetriesAllowed)
     return true;
   Record.write("judge", "BUDGET: a request that crashes the endpoints that run "
--- a/review/harness/endpoint.cpp
+++ b/review/harness/endpoint.cpp
@@ -143,28 +143,46 @@
         return;
     }
     Due = clock::now() + Deployment.plan().HeartbeatInterval;
-    const json::object Report{
-        {"address", address()},
-        {"born", Born},
-        {"information", json::object{{"service", Plan.Service},
-                                     {"version", "v1"},
-                                     {"zone", Plan.Zone},
-                                     {"slots", Plan.Slots}}},
-        {"status", json::object{{"state", "ready"},
-                                {"sequence", ++Sequence},
-                                {"cold_remaining_s", 0}}}};
-    const auto Answer = Deployment.callControl(
-        "POST", "/pomeloswitch/Instances.Heartbeat/" + Plan.Id,
-        json::serialize(Report), ReportTimeout, Address);
-    Address.clear();
-    if (!Answer || Answer->status() != Ok)
-      continue;
-    boost::system::error_code Failure;
-    const json::value Body = json::parse(Answer->Body, Failure);
-    if (!Failure && Body.is_object())
-      if (const auto *Named = Body.as_object().if_contains("heartbeat_address"))
-        Address = std::string(Named->as_string());
+    reportOnce(Address);
+  }
+}
+
+//! Sends one report, first to \p Address, and keeps there what the answer
+//! names. Returns whether the report was acknowledged.
+bool endpoint::reportOnce(std::string &Address) {
+  const std::lock_guard OneAtATime(ReportMutex);
+  const json::object Report{
+      {"address", address()},
+      {"born", Born},
+      {"information", json::object{{"service", Plan.Service},
+                                   {"version", "v1"},
+                                   {"zone", Plan.Zone},
+                                   {"slots", Plan.Slots}}},
+      {"status", json::object{{"state", Draining ? "draining" : "ready"},
+                              {"sequence", ++Sequence},
+                              {"cold_remaining_s", 0}}}};
+  const auto Answer = Deployment.callControl(
+      "POST", "/pomeloswitch/Instances.Heartbeat/" + Plan.Id,
+      json::serialize(Report), ReportTimeout, Address);
+  Address.clear();
+  if (!Answer || Answer->status() != Ok)
+    return false;
+  boost::system::error_code Failure;
+  const json::value Body = json::parse(Answer->Body, Failure);
+  if (!Failure && Body.is_object())
+    if (const auto *Named = Body.as_object().if_contains("heartbeat_address"))
+      Address = std::string(Named->as_string());
+  return true;
+}
+
+clock::time_point endpoint::drain() {
+  Draining = true;
+  Deployment.log().write(Plan.Id, "reports that it drains");
+  std::string Address;
+  while (!Ended && !reportOnce(Address)) {
   }
+  Deployment.log().write(Plan.Id, "gets its draining confirmed");
+  return clock::now();
 }
 
 //! Spreads the rejections evenly over the long requests.
--- a/review/harness/endpoint.hpp
+++ b/review/harness/endpoint.hpp
@@ -68,6 +68,10 @@
   //! Whether it began a request that crashes it; crash() is to be called then.
   [[nodiscard]] bool crashing() const { return Crashing; }
 
+  //! Reports at once that it drains, until that is confirmed, and goes on to
+  //! do so. Returns when it was confirmed.
+  clock::time_point drain();
+
   [[nodiscard]] const endpoint_plan &plan() const { return Plan; }
   [[nodiscard]] std::string address() const;
   [[nodiscard]] int port() const { return Port; }
@@ -86,6 +90,7 @@
   void accept();
   void serve(visitor &Visitor);
   void report();
+  bool reportOnce(std::string &Address);
   [[nodiscard]] bool rejectsEarly(const message &Head);
   std::string answer(const message &Request, const stream &From);
   std::string grant(const message &Request);
@@ -109,7 +114,9 @@
   std::int64_t HighestFence = 0;
   unsigned Running = 0;
   double RejectionsDue = 0;
+  std::mutex ReportMutex;
   std::uint64_t Sequence = 0;
+  std::atomic<bool> Draining{false};
   std::mutex VisitorsMutex;
   std::list<visitor> Visitors;
   std::thread Acceptor;
