--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -426,6 +426,7 @@
   Options.Address = Settings.PeerAddress;
   Options.Secret = Settings.ClusterSecret;
   Options.Members = Settings.Members;
+  Options.ToleratedLosses = Settings.ToleratedLosses;
   const auto Founders =
       Settings.MayFound ? Settings.Members : std::vector<host_address>();
   return std::make_unique<raft_log>(
--- a/src/pomeloswitch/raft/group_bootstrap.cpp
+++ b/src/pomeloswitch/raft/group_bootstrap.cpp
@@ -5,8 +5,10 @@
 namespace pomelo {
 
 group_bootstrap::group_bootstrap(std::string HostId,
-                                 std::vector<host_address> GivenMembers)
-    : HostId(std::move(HostId)), Members(std::move(GivenMembers)) {
+                                 std::vector<host_address> GivenMembers,
+                                 unsigned ToleratedLosses)
+    : HostId(std::move(HostId)), Members(std::move(GivenMembers)),
+      ToleratedLosses(ToleratedLosses) {
   std::sort(Members.begin(), Members.end(),
             [](const host_address &Left, const host_address &Right) {
               return Left.Id < Right.Id;
@@ -53,7 +55,10 @@
     Added->set_failure_domain(Found.FailureDomain);
     Added->set_voter(true);
   }
-  Config.set_voters_wanted(static_cast<std::uint32_t>(Members.size()));
+  // A majority must be left, and with it every acknowledged entry.
+  const unsigned Needed = 2 * ToleratedLosses + 1;
+  Config.set_voters_wanted(
+      std::max(static_cast<unsigned>(Members.size()), Needed));
   return Config;
 }
 
--- a/src/pomeloswitch/raft/group_bootstrap.hpp
+++ b/src/pomeloswitch/raft/group_bootstrap.hpp
@@ -7,6 +7,9 @@
 //! blank, i.e. have never stored a vote, entry or snapshot. A host that lost
 //! its data folder finds members that are not blank; it creates no second group
 //! but waits until the leader adds it as a learner.
+//!
+//! A group that is to bear more losses than its initial members allow wants
+//! more voters: learners take the places as they join.
 #ifndef POMELOSWITCH_RAFT_GROUP_BOOTSTRAP_HPP
 #define POMELOSWITCH_RAFT_GROUP_BOOTSTRAP_HPP
 
@@ -24,7 +27,10 @@
 //! the group.
 class group_bootstrap {
 public:
-  group_bootstrap(std::string HostId, std::vector<host_address> Members);
+  //! \p ToleratedLosses is the number of hosts that the group must be able to
+  //! lose at once, with their disks.
+  group_bootstrap(std::string HostId, std::vector<host_address> Members,
+                  unsigned ToleratedLosses = 0);
 
   //! Returns whether this host is the initial member that creates the group.
   [[nodiscard]] bool initiatesBootstrap() const;
@@ -48,6 +54,7 @@
 
   std::string HostId;
   std::vector<host_address> Members;
+  unsigned ToleratedLosses;
   std::map<std::string, blank_member> BlankMembers; //!< By host id.
 };
 
--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -192,6 +192,12 @@
   //! How long a member has answered nothing; zero for this host.
   raft_time::duration silence(const std::string &HostId, raft_time Now) const;
   bool isReady(const wire::raft_member &Learner, raft_time Now) const;
+  std::vector<const wire::raft_member *> readyLearners(raft_time Now) const;
+  std::size_t votersIn(const std::string &FailureDomain) const;
+  //! Returns a voter, not this host, of a failure domain that has at least two
+  //! voters more than that of \p Learner, or nothing.
+  std::optional<std::string>
+  crowdedVoterFor(const wire::raft_member &Learner) const;
   //! Whether a majority would be in touch with one more voter that is.
   bool majorityWithOneMore(raft_time Now) const;
   //! Returns the voter that \p Learner is to replace, or nothing.
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -25,7 +25,7 @@
                    storage_opener OpenStorage)
     : Io(Io), Options(std::move(GivenOptions)), Random(std::random_device()()),
       Core(coreOptions(), {}, lease_clock::now()),
-      Bootstrap(Options.HostId, Options.Founders),
+      Bootstrap(Options.HostId, Options.Founders, Options.ToleratedLosses),
       Network(Io, Options.HostId, Options.Secret,
               [this](const wire::raft_message &Message) { receive(Message); }),
       Worker(Io, std::move(OpenStorage),
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -36,6 +36,8 @@
     //! started together with them. It need not be one of them. Those that the
     //! storage names take their place.
     std::vector<host_address> Founders;
+    //! How many hosts of a group that this one founds may be lost at once.
+    unsigned ToleratedLosses = 0;
     raft_times Times;
     //! A snapshot is taken once this many entries, or bytes of entries, were
     //! applied since the last one. A host that starts applies those after it
--- a/src/pomeloswitch/raft/raft_log_recovery.cpp
+++ b/src/pomeloswitch/raft/raft_log_recovery.cpp
@@ -57,7 +57,8 @@
   if (!Stored.Founders.empty())
     Options.Founders = std::move(Stored.Founders);
   Core = raft_core(coreOptions(), std::move(Stored), lease_clock::now());
-  Bootstrap = group_bootstrap(Options.HostId, Options.Founders);
+  Bootstrap = group_bootstrap(Options.HostId, Options.Founders,
+                              Options.ToleratedLosses);
   ConnectedHosts = 0;
 }
 
--- a/src/pomeloswitch/raft/raft_membership.cpp
+++ b/src/pomeloswitch/raft/raft_membership.cpp
@@ -1,7 +1,8 @@
 //! Membership changes, one member at a time.
 //!
-//! The group keeps the number of voters that it was founded with. Further
-//! members are learners, which stand in for voters that are lost.
+//! The group grows to the number of voters that it was founded for and keeps
+//! it. Further members are learners, which stand in for voters that are lost.
+//! Voters are spread over the failure domains.
 #include "pomeloswitch/raft/raft_core.hpp"
 
 #include <fmt/format.h>
@@ -177,13 +178,13 @@
 bool raft_core::promoteLearner(raft_time Now) {
   const std::uint32_t Wanted = Log.config().voters_wanted();
   const bool PlaceFree = Wanted == 0 || voterCount() < Wanted;
-  for (const wire::raft_member &Member : Log.config().members()) {
-    if (Member.voter() || !isReady(Member, Now))
-      continue;
+  for (const wire::raft_member *Member : readyLearners(Now)) {
     std::string Replaced =
-        findMember(Member.replaces()) ? Member.replaces() : std::string();
+        findMember(Member->replaces()) ? Member->replaces() : std::string();
+    if (!PlaceFree && Replaced.empty())
+      Replaced = lostVoterFor(*Member, Now).value_or("");
     if (!PlaceFree && Replaced.empty())
-      Replaced = lostVoterFor(Member, Now).value_or("");
+      Replaced = crowdedVoterFor(*Member).value_or("");
     if (!PlaceFree && Replaced.empty())
       continue;
     const bool FreesPlace = !PlaceFree && isVoter(Replaced) &&
@@ -191,7 +192,7 @@
     if (!FreesPlace && !majorityWithOneMore(Now))
       return false;
     wire::raft_config Config = Log.config();
-    wire::raft_member &Learner = *find(Config, Member.host_id());
+    wire::raft_member &Learner = *find(Config, Member->host_id());
     Learner.set_replaces(FreesPlace ? std::string() : Replaced);
     Learner.set_voter(!FreesPlace);
     if (FreesPlace)
@@ -202,6 +203,49 @@
   return false;
 }
 
+//! Those of failure domains with the fewest voters come first.
+std::vector<const wire::raft_member *>
+raft_core::readyLearners(raft_time Now) const {
+  std::vector<const wire::raft_member *> Ready;
+  for (const wire::raft_member &Member : Log.config().members())
+    if (!Member.voter() && isReady(Member, Now))
+      Ready.push_back(&Member);
+  std::stable_sort(Ready.begin(), Ready.end(),
+                   [this](const auto *Left, const auto *Right) {
+                     return votersIn(Left->failure_domain()) <
+                            votersIn(Right->failure_domain());
+                   });
+  return Ready;
+}
+
+std::size_t raft_core::votersIn(const std::string &FailureDomain) const {
+  const auto &Members = Log.config().members();
+  return static_cast<std::size_t>(std::count_if(
+      Members.begin(), Members.end(), [&](const wire::raft_member &Member) {
+        return Member.voter() && Member.failure_domain() == FailureDomain;
+      }));
+}
+
+std::optional<std::string>
+raft_core::crowdedVoterFor(const wire::raft_member &Learner) const {
+  if (Learner.failure_domain().empty())
+    return std::nullopt;
+  std::optional<std::string> Crowded;
+  // The move of a single voter must make the domains more even.
+  std::size_t Most = votersIn(Learner.failure_domain()) + 1;
+  for (const wire::raft_member &Member : Log.config().members()) {
+    if (!Member.voter() || Member.host_id() == Options.HostId ||
+        Member.failure_domain().empty())
+      continue;
+    const std::size_t Voters = votersIn(Member.failure_domain());
+    if (Voters <= Most)
+      continue;
+    Most = Voters;
+    Crowded = Member.host_id();
+  }
+  return Crowded;
+}
+
 bool raft_core::isReady(const wire::raft_member &Learner, raft_time Now) const {
   return !Learner.replica_id().empty() &&
          matchIndexOf(Learner.host_id()) >= Commit &&
--- a/src/pomeloswitch/settings/control_settings.cpp
+++ b/src/pomeloswitch/settings/control_settings.cpp
@@ -20,6 +20,7 @@
     "data_folder": {{"type": "string", "minLength": 1}},
     "members": {{"$ref": "#/definitions/hosts"}},
     "may_found": {{"type": "boolean"}},
+    "tolerated_losses": {{"type": "integer", "minimum": 0, "maximum": 5}},
     "cluster_secret_file": {{"type": "string", "minLength": 1}},
     "operators": {{
       "type": "array",
@@ -69,6 +70,8 @@
   Settings.DataFolder = stringField(Object, "data_folder");
   Settings.Members = readHostAddresses(Kind, Object, "members");
   Settings.MayFound = boolField(Object, "may_found", Settings.MayFound);
+  Settings.ToleratedLosses = static_cast<unsigned>(
+      integerField(Object, "tolerated_losses", Settings.ToleratedLosses));
   Settings.ClusterSecret = readClusterSecret(Kind, Object);
   Settings.Operators = readOperators(Object.at("operators").as_array());
   Settings.HostLeaseMs = static_cast<std::uint32_t>(
--- a/src/pomeloswitch/settings/control_settings.hpp
+++ b/src/pomeloswitch/settings/control_settings.hpp
@@ -26,6 +26,9 @@
   //! Whether a host with an empty data folder may found the group together with
   //! the members. To be true at the first start of the whole system only.
   bool MayFound = true;
+  //! How many control hosts may be lost at once, with their disks. The group is
+  //! founded to grow to as many voters as that takes.
+  unsigned ToleratedLosses = 0;
   std::string ClusterSecret;
   std::vector<operator_settings> Operators;
   //! How long an entry host may route requests after the last heartbeat that
--- a/tests/raft/raft_group.cpp
+++ b/tests/raft/raft_group.cpp
@@ -1,5 +1,7 @@
 #include "raft/raft_group.hpp"
 
+#include "pomeloswitch/raft/group_bootstrap.hpp"
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -25,22 +27,23 @@
 } // namespace
 
 raft_group::raft_group(unsigned HostCount, std::uint64_t Seed,
-                       unsigned Outsiders)
+                       unsigned Outsiders, unsigned ToleratedLosses)
     : Random(Seed), Founders(HostCount) {
-  wire::raft_config Config;
+  group_bootstrap Bootstrap("c1", foundersOf(HostCount), ToleratedLosses);
   for (unsigned Number = 1; Number <= HostCount; ++Number) {
     const std::string Id = fmt::format("c{}", Number);
     Hosts[Id].Seeds = foundersOf(HostCount);
     addHost(Id);
-    wire::raft_member *Member = Config.add_members();
-    Member->set_host_id(Id);
-    Member->set_replica_id(Hosts[Id].Disk.Identity.replica_id());
-    Member->set_voter(true);
-    Member->set_failure_domain(Hosts[Id].FailureDomain);
-    Member->set_address(Id);
+    wire::raft_message Answer;
+    Answer.set_from_host(Id);
+    Answer.set_from_replica(Hosts[Id].Disk.Identity.replica_id());
+    Answer.mutable_found_answer()->set_blank(true);
+    Answer.mutable_found_answer()->set_failure_domain(Hosts[Id].FailureDomain);
+    Bootstrap.recordAnswer(Answer);
   }
-  Config.set_voters_wanted(HostCount);
-  Hosts["c1"].Core->bootstrap(Config, Now);
+  const auto Config = Bootstrap.config(Hosts["c1"].Disk.Identity.replica_id(),
+                                       Hosts["c1"].FailureDomain);
+  Hosts["c1"].Core->bootstrap(Config.value(), Now);
   for (unsigned Number = 1; Number <= Outsiders; ++Number)
     addHost(fmt::format("c{}", HostCount + Number));
 }
--- a/tests/raft/raft_group.hpp
+++ b/tests/raft/raft_group.hpp
@@ -55,8 +55,10 @@
 //! all hosts apply the same entries in the same order.
 class raft_group {
 public:
-  //! Starts \p Outsiders further hosts that are not members of the group.
-  raft_group(unsigned HostCount, std::uint64_t Seed, unsigned Outsiders = 0);
+  //! Starts \p Outsiders further hosts that are not members of the group. The
+  //! group is founded to bear the loss of \p ToleratedLosses hosts at once.
+  raft_group(unsigned HostCount, std::uint64_t Seed, unsigned Outsiders = 0,
+             unsigned ToleratedLosses = 0);
 
   void step(const fault_plan &Plan);
   void runSteps(int Count, const fault_plan &Plan = {});
