--- a/src/pomeloswitch/http/caller_body.cpp
+++ b/src/pomeloswitch/http/caller_body.cpp
@@ -1,10 +1,12 @@
 #include "pomeloswitch/http/caller_body.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelo {
 
@@ -31,15 +33,21 @@
   Prefix.resize(Filled);
 }
 
-asio::awaitable<std::span<const char>> caller_body::next() {
-  if (Request.is_done() || Cancelled)
-    co_return std::span<const char>();
-  Chunk.resize(RelayChunkBytes);
-  const std::size_t Count = co_await readInto(Chunk);
-  Relayed += Count;
-  co_return std::span<const char>(Chunk.data(), Count);
+asio::awaitable<body_piece> caller_body::next() {
+  Interrupted = false;
+  if (Unrelayed == 0 && !Request.is_done()) {
+    Chunk.resize(RelayChunkBytes);
+    Unrelayed = co_await readInto(Chunk);
+  }
+  if (Interrupted && !Request.is_done())
+    co_return body_piece{body_read::Interrupted, {}};
+  if (Unrelayed == 0)
+    co_return body_piece{body_read::End, {}};
+  co_return body_piece{body_read::Data, std::span(Chunk).first(Unrelayed)};
 }
 
+void caller_body::markRelayed() { Relayed += std::exchange(Unrelayed, 0); }
+
 asio::awaitable<std::size_t> caller_body::readInto(std::span<char> Space) {
   auto &Body = Request.get().body();
   Body.data = Space.data();
@@ -49,13 +57,15 @@
   co_await http::async_read(Caller, Buffer, Request,
                             asio::redirect_error(asio::use_awaitable, Error));
   const bool Ended = !Error || Error == http::error::need_buffer;
-  if (!Ended && !Cancelled)
+  const bool WasInterrupted =
+      Interrupted && Error == asio::error::operation_aborted;
+  if (!Ended && !WasInterrupted)
     throw boost::system::system_error(Error);
   co_return Space.size() - Body.size;
 }
 
-void caller_body::cancel() {
-  Cancelled = true;
+void caller_body::interrupt() {
+  Interrupted = true;
   Caller.cancel();
 }
 
--- a/src/pomeloswitch/http/caller_body.hpp
+++ b/src/pomeloswitch/http/caller_body.hpp
@@ -18,6 +18,18 @@
 
 namespace pomelo {
 
+//! How a read of the next piece of a body ended.
+enum class body_read {
+  Data,
+  End,         //!< The body is complete.
+  Interrupted, //!< interrupt() ended the read; the body goes on.
+};
+
+struct body_piece {
+  body_read Read = body_read::End;
+  std::span<const char> Bytes; //!< Empty unless Data.
+};
+
 //! Reads a request body in two steps: a buffered prefix of up to
 //! FingerprintBodyBytes bytes, and the rest in pieces. The prefix is read
 //! before the request is sent to a target, so that a slow caller with a small
@@ -34,9 +46,9 @@
 
   //! Whether the prefix is the complete body.
   [[nodiscard]] bool fullyBuffered() const {
-    return Relayed == 0 && Request.is_done();
+    return Relayed == 0 && Unrelayed == 0 && Request.is_done();
   }
-  //! Whether next() has returned data beyond the prefix. That data is not
+  //! Whether data beyond the prefix went to a target. That data is not
   //! buffered, so the request cannot be retried.
   [[nodiscard]] bool partlyRelayed() const { return Relayed > 0; }
   [[nodiscard]] std::string_view prefix() const { return Prefix; }
@@ -44,16 +56,19 @@
   //! body is not fully buffered.
   [[nodiscard]] std::optional<std::uint64_t> length() const;
   [[nodiscard]] std::uint64_t bytesRead() const {
-    return Prefix.size() + Relayed;
+    return Prefix.size() + Relayed + Unrelayed;
   }
 
-  //! Reads the next piece after the prefix. It is valid until the next call,
-  //! and empty at the end of the body or after cancel(). \throws
-  //! boost::system::system_error.
-  boost::asio::awaitable<std::span<const char>> next();
+  //! Returns the next piece after the prefix, the same one until markRelayed()
+  //! is called. It is valid until the call after that. \throws
+  //! boost::system::system_error if reading from the caller fails.
+  boost::asio::awaitable<body_piece> next();
+
+  //! Records that the piece that next() has returned goes to a target.
+  void markRelayed();
 
-  //! Cancels a pending next().
-  void cancel();
+  //! Ends a pending next(). What it has read is kept for the next call.
+  void interrupt();
 
 private:
   boost::asio::awaitable<std::size_t> readInto(std::span<char> Space);
@@ -64,7 +79,8 @@
   std::string Prefix;
   std::vector<char> Chunk;
   std::uint64_t Relayed = 0;
-  bool Cancelled = false;
+  std::size_t Unrelayed = 0; //!< Bytes of Chunk that went to no target.
+  bool Interrupted = false;  //!< Whether the pending next() is to end.
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -139,27 +139,26 @@
   const input_observer Observer(Connection.Stream.socket(),
                                 [this](input_state) {
                                   EarlyResponse = true;
-                                  Body.cancel();
+                                  Body.interrupt();
                                   Connection.Stream.cancel();
                                 });
   co_await http::async_write_header(Connection.Stream, Serializer,
                                     redirect(Error));
-  const std::string_view Prefix = Body.prefix();
-  std::span<const char> Piece(Prefix.data(), Prefix.size());
+  if (!Error && !EarlyResponse && !Body.prefix().empty())
+    Error = co_await writePiece(Message, Serializer, Body.prefix());
   while (!Error && !EarlyResponse && !Serializer.is_done()) {
-    if (Piece.empty())
-      Piece = co_await Body.next();
-    if (EarlyResponse)
+    const body_piece Piece = co_await Body.next();
+    if (Piece.Read == body_read::Interrupted || EarlyResponse)
       break;
     if (Body.bytesRead() > MaxBodyBytes)
       fail(attempt_failure::ProtocolError,
            "the body exceeds the route's limit");
-    Error = co_await writePiece(Message, Serializer, Piece);
-    Piece = {};
+    Body.markRelayed();
+    Error = co_await writePiece(Message, Serializer, Piece.Bytes);
   }
   if (Error == beast::error::timeout)
     fail(attempt_failure::TimedOut, "sending the body to the target timed out");
-  RequestFullySent = !Error && !EarlyResponse;
+  RequestFullySent = !Error && !EarlyResponse && Serializer.is_done();
 }
 
 asio::awaitable<void>
--- a/tests/http/scripted_target.hpp
+++ b/tests/http/scripted_target.hpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <list>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -49,6 +50,28 @@
     Received.erase(0, Bytes);
     return Body;
   }
+  //! Reads a chunked body. Returns its content, or nothing if the connection
+  //! ends before the body does.
+  std::optional<std::string> readChunkedBody() {
+    constexpr int Hexadecimal = 16;
+    std::string Body;
+    for (;;) {
+      boost::system::error_code Error;
+      const auto Line = boost::asio::read_until(
+          Socket, boost::asio::dynamic_buffer(Received), "\r\n", Error);
+      if (Error)
+        return std::nullopt;
+      const auto Size =
+          std::stoul(Received.substr(0, Line), nullptr, Hexadecimal);
+      Received.erase(0, Line);
+      const std::string Chunk = readBody(Size + 2);
+      if (Chunk.size() < Size + 2)
+        return std::nullopt;
+      if (Size == 0)
+        return Body;
+      Body += Chunk.substr(0, Size);
+    }
+  }
   void write(const std::string &Text) {
     boost::system::error_code Ignored;
     boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
