--- a/src/pomeloswitch/control/control_host_heartbeats.cpp
+++ b/src/pomeloswitch/control/control_host_heartbeats.cpp
@@ -1,6 +1,7 @@
 //! The entry hosts' part of a control host: heartbeats and token requests.
 #include "pomeloswitch/admission/quota_codec.hpp"
 #include "pomeloswitch/control/control_host.hpp"
+#include "pomeloswitch/membership/report_check.hpp"
 #include "pomeloswitch/state/key_slot.hpp"
 #include "pomeloswitch/wire/report_id.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -73,9 +74,12 @@
 void control_host::recordTargetReports(const wire::heartbeat &Heartbeat,
                                        mono_time Now,
                                        wire::heartbeat_ack &Ack) {
-  for (const wire::target_report &Report : Heartbeat.targets())
-    if (Leases.targetHeard(readTargetStatus(Report, Now), Log->commitIndex()))
+  for (const wire::target_report &Report : Heartbeat.targets()) {
+    const target_status Status = readTargetStatus(Report, Now);
+    if (mayRecordReport(State, Status.Announced) &&
+        Leases.targetHeard(Status, Log->commitIndex()))
       Ack.add_targets(reportId(Report.target()));
+  }
 }
 
 void control_host::addOverloadedOwners(wire::heartbeat_ack &Ack) const {
--- a/src/pomeloswitch/control/control_host_targets.cpp
+++ b/src/pomeloswitch/control/control_host_targets.cpp
@@ -2,6 +2,7 @@
 #include "pomeloswitch/control/control_host.hpp"
 
 #include "pomeloswitch/control/decision_events.hpp"
+#include "pomeloswitch/membership/report_check.hpp"
 #include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -32,14 +33,23 @@
 }
 
 void control_host::recordTarget(target_status Status) {
+  const target_member &Announced = Status.Announced;
+  if (!mayRecordReport(State, Announced)) {
+    Logger.warn("Ignored a report under the id of target {}: it names service "
+                "{} and address {}.",
+                Announced.TargetId, Announced.Service, Announced.Address);
+    return;
+  }
   Status.HeardAt = steady_clock::now();
   Leases.targetHeard(Status, Log->commitIndex());
-  const auto Member = State.targets().find(Status.Announced.TargetId);
+  const auto Member = State.targets().find(Announced.TargetId);
+  const bool Joins =
+      Member == State.targets().end() && serviceInForce(State, Announced);
   PlanInputsChanged |=
-      Member == State.targets().end() ||
-      Member->second.Incarnation != Status.Announced.Incarnation ||
-      Member->second.Leaving != Status.Announced.Leaving ||
-      Member->second.Cold != Status.Announced.Cold;
+      Joins || (Member != State.targets().end() &&
+                (Member->second.Incarnation != Announced.Incarnation ||
+                 Member->second.Leaving != Announced.Leaving ||
+                 Member->second.Cold != Announced.Cold));
 }
 
 void control_host::onForwardedReports(
--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/membership/member_planner.hpp"
 
+#include "pomeloswitch/membership/report_check.hpp"
 #include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -113,7 +114,8 @@
   const auto Member = State.targets().find(Announced.TargetId);
   if (Member == State.targets().end() ||
       Member->second.Incarnation != Announced.Incarnation) {
-    if (!Announced.Leaving && State.mayJoin(Announced))
+    if (!Announced.Leaving && serviceInForce(State, Announced) &&
+        State.mayJoin(Announced))
       Commands.push_back(joinTarget(Announced));
     return;
   }
--- a/tests/control/forwarded_reports_test.cpp
+++ b/tests/control/forwarded_reports_test.cpp
@@ -88,6 +88,11 @@
   EXPECT_TRUE(Follower->targetHeard(report(1)));
   ASSERT_TRUE(runUntil([this] { return !FollowerLog->Sent.empty(); }));
   const auto Leader = makeHost(std::make_unique<local_log>("c2"));
+  wire::command Command;
+  Command.mutable_set_inventory()->set_json(testInventory(4));
+  Leader->proposeChange(Command, [](const apply_result &Result, auto) {
+    EXPECT_TRUE(Result.accepted());
+  });
   const auto Address =
       boost::json::parse(Leader->describe()).at("peer_address").as_string();
   peer_link::handlers Handlers;
--- a/tests/platform/control_api_test.cpp
+++ b/tests/platform/control_api_test.cpp
@@ -78,6 +78,17 @@
 const std::string ReplacePath = "/pomeloswitch/Configuration.Replace";
 const std::string Nested = std::string(10000, '[') + std::string(10000, ']');
 
+const std::string Configuration = R"({
+  "version": "1",
+  "routes": {"r": {"host": "h", "path_prefix": "/a/", "kind": "safe",
+                   "service": "s", "timeout_s": 1.5, "target_latency_s": 0.6,
+                   "priority": 2, "max_attempts": 2,
+                   "allow_anonymous": false}},
+  "services": {"s": {"connection_limit": 130, "cold_per_s": 2.5}},
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+             "header_timeout_s": 3, "idle_timeout_s": 15},
+  "tenants": {"t": {"api_keys": ["k1"], "rate_per_s": 0}}})";
+
 std::string report(const std::string &Address) {
   return fmt::format(
       R"({{"address": "{}", "born": 1, "information": {{"service": "s",
@@ -90,12 +101,13 @@
                           public testing::WithParamInterface<odd_call> {};
 
 TEST_P(odd_platform_call, is_refused_and_the_host_goes_on) {
+  ASSERT_EQ(post(ReplacePath, Configuration), std::nullopt);
   EXPECT_EQ(post(GetParam().Path, GetParam().Body), GetParam().Refusal);
   EXPECT_EQ(post(HeartbeatPath + "t1", report("127.0.0.1:4001")), std::nullopt);
   while (!Host->state().targets().contains("t1"))
     Io.run_one();
   EXPECT_EQ(Host->state().targets().size(), 1U);
-  EXPECT_EQ(Host->state().configurationNumber(), 0U);
+  EXPECT_EQ(Host->state().configurationNumber(), 1U);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -117,7 +129,7 @@
         odd_call{"configuration_version", ReplacePath,
                  R"({"version": "10000000000000000"})"},
         odd_call{"configuration_rate", ReplacePath,
-                 R"({"version": "1", "services": {}, "routes": {},
+                 R"({"version": "2", "services": {}, "routes": {},
                      "tenants": {"t": {"rate_per_s": "1e999"}}})"}),
     [](const auto &Info) { return Info.param.Name; });
 
