--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -362,6 +362,14 @@
   return Context.Dialect.headerForTarget(Request.get(), Metadata);
 }
 
+//! Whether the target has said, here or to the control group, that it leaves.
+bool exchange::isLeaving(const routing_target &Target) const {
+  const auto Known = Context.View->Targets.find(Target.Member.TargetId);
+  const bool Announced =
+      Known != Context.View->Targets.end() && Known->second->Member.Leaving;
+  return Announced || Context.Sending.Notices.of(Target).Leaving;
+}
+
 //! A target that closed its connection without a response may have crashed
 //! because of the request. A confirmed crash is reported to the control group
 //! before the request is sent to another target.
@@ -376,7 +384,8 @@
   const bool Refuses =
       !ReportsStartTime && co_await refusesConnections(Target->Address);
   if (!Refuses) {
-    Context.ConnectionLosses.add(Report, steady_clock::now());
+    if (!isLeaving(*Target))
+      Context.ConnectionLosses.add(Report, Target->Member, steady_clock::now());
     co_return;
   }
   co_await awaitCrashReport(*Context.Records, Context.Io.get_executor(),
@@ -406,16 +415,23 @@
   if (Claim.ownsClaim())
     Claim.answered(*Relay.takeCopy());
   CallerDisconnected = CallerDisconnected || Relay.callerDisconnected();
-  const auto &Crashes = Context.View->Crashes;
-  if (Crashes && Crashes->size() > 0) {
-    const std::string Fingerprint = fingerprint();
-    if (Crashes->isSuspect(Fingerprint))
-      Context.Records->clearSuspect(Fingerprint);
-  }
+  clearSuspicion();
   if (Dispatch.reusable())
     Connection.returnToPool();
 }
 
+//! Clears a request that has run to completion of all crashes.
+void exchange::clearSuspicion() {
+  const auto &Crashes = Context.View->Crashes;
+  const bool AnyConfirmed = Crashes && Crashes->size() > 0;
+  if (!AnyConfirmed && Context.ConnectionLosses.empty())
+    return;
+  const std::string Fingerprint = fingerprint();
+  Context.ConnectionLosses.discard(Fingerprint);
+  if (AnyConfirmed && Crashes->isSuspect(Fingerprint))
+    Context.Records->clearSuspect(Fingerprint);
+}
+
 asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   co_await writeResponse(
       Context.Dialect.errorResponse(Refusal, Request.get().version()));
--- a/src/pomeloswitch/retry/crash_detector.hpp
+++ b/src/pomeloswitch/retry/crash_detector.hpp
@@ -7,29 +7,39 @@
 
 #include <chrono>
 #include <deque>
+#include <string_view>
 #include <vector>
 
 namespace pomelo {
 
 //! Holds a crash report for each request whose target closed the connection
-//! without an answer. The crash is confirmed if the target announces itself as
-//! a new incarnation soon afterwards; otherwise the report is discarded.
+//! without an answer. The crash is confirmed if a process of the same service
+//! that started later joins soon afterwards, under the id of the target or at
+//! its address. Otherwise the report is discarded, also if the target leaves by
+//! plan or the same request runs to completion meanwhile.
 class crash_detector {
 public:
   using time_point = std::chrono::steady_clock::time_point;
 
-  //! Adds an unconfirmed report. If too many are pending, the oldest is
-  //! dropped.
-  void add(crash_report Report, time_point Now);
+  //! Adds an unconfirmed report on \p Lost. If too many are pending, the oldest
+  //! is dropped.
+  void add(crash_report Report, const target_member &Lost, time_point Now);
 
-  //! Removes and returns the reports whose target has joined again as another
-  //! incarnation; removes expired reports.
+  //! Discards the reports on a request that has run to completion.
+  void discard(std::string_view Fingerprint);
+
+  //! Returns whether no report is pending.
+  [[nodiscard]] bool empty() const { return Pending.empty(); }
+
+  //! Removes and returns the reports whose target has started again; removes
+  //! expired reports and those on targets that leave.
   std::vector<crash_report> takeConfirmedCrashes(const routing_view &View,
                                                  time_point Now);
 
 private:
   struct suspected_crash {
     crash_report Report;
+    target_member Lost;
     time_point ExpiresAt;
   };
 
