--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -56,17 +56,17 @@
                        connection_requirement Requirement,
                        steady_time Deadline) {
   const std::string Key = keyOf(Target);
+  Pools[Key].Share = Target.ConnectionShare;
   if (Pools[Key].InUse >= Target.ConnectionShare)
     co_await awaitFreeConnection(Key, Deadline);
   else
     ++Pools[Key].InUse;
   target_pool &Pool = Pools[Key];
-  if (auto Connection = takeIdle(Pool, Requirement))
+  auto Connection = takeIdle(Pool, Requirement);
+  // Makes room for a new connection, or follows a share that has shrunk.
+  closeBeyondShare(Pool);
+  if (Connection)
     co_return pooled_connection(*this, Key, std::move(Connection));
-  // Closes an idle connection that does not meet the requirement, so that the
-  // new one does not exceed the share.
-  if (Pool.InUse + Pool.Idle.size() > Target.ConnectionShare)
-    Pool.Idle.pop_front();
   try {
     co_return pooled_connection(*this, Key, co_await connect(Target, Deadline));
   } catch (...) {
@@ -126,14 +126,19 @@
   co_return Connection;
 }
 
+void upstream_pool::closeBeyondShare(target_pool &Pool) {
+  while (!Pool.Idle.empty() && Pool.InUse + Pool.Idle.size() > Pool.Share)
+    Pool.Idle.pop_front();
+}
+
 void upstream_pool::release(const std::string &Key,
                             std::unique_ptr<upstream_connection> Returned) {
   target_pool &Pool = Pools[Key];
   if (Returned)
     Pool.Idle.push_back(std::move(Returned));
-  if (Pool.Waiters.empty()) {
+  if (Pool.Waiters.empty() || Pool.InUse > Pool.Share) {
     --Pool.InUse;
-    return;
+    return closeBeyondShare(Pool);
   }
   waiter *Next = Pool.Waiters.front();
   Pool.Waiters.pop_front();
@@ -141,14 +146,19 @@
 }
 
 void upstream_pool::retain(const routing_view &View) {
-  std::erase_if(Pools, [&View](const auto &Entry) {
-    const auto &[Key, Pool] = Entry;
+  for (auto Entry = Pools.begin(); Entry != Pools.end();) {
+    auto &[Key, Pool] = *Entry;
     const auto Id = Key.substr(0, Key.rfind('#'));
     const auto Target = View.Targets.find(Id);
     const bool Gone =
         Target == View.Targets.end() || keyOf(*Target->second) != Key;
-    return Gone && Pool.InUse == 0 && Pool.Waiters.empty();
-  });
+    if (!Gone) {
+      Pool.Share = Target->second->ConnectionShare;
+      closeBeyondShare(Pool);
+    }
+    const bool Unused = Pool.InUse == 0 && Pool.Waiters.empty();
+    Entry = Gone && Unused ? Pools.erase(Entry) : std::next(Entry);
+  }
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/upstream_pool.hpp
+++ b/src/pomeloswitch/http/upstream_pool.hpp
@@ -68,7 +68,8 @@
 
 //! Connections of one traffic thread to all targets. At most ConnectionShare
 //! connections to each target are open at a time; further requests wait in FIFO
-//! order.
+//! order. If the share shrinks, connections beyond it are closed as soon as no
+//! request uses them.
 class upstream_pool {
 public:
   explicit upstream_pool(boost::asio::any_io_executor Executor)
@@ -83,7 +84,8 @@
   //! Number of requests that use or wait for a connection to the target.
   [[nodiscard]] std::size_t load(const routing_target &Target) const;
 
-  //! Closes idle connections to targets that are no longer in \p View.
+  //! Adopts the connection shares of \p View. Closes idle connections beyond
+  //! them and to targets that are no longer in it.
   void retain(const routing_view &View);
 
 private:
@@ -94,6 +96,7 @@
     std::deque<std::unique_ptr<upstream_connection>> Idle;
     std::deque<waiter *> Waiters;
     std::size_t InUse = 0;
+    std::size_t Share = 1; //!< The latest ConnectionShare of the target.
   };
 
   static std::string keyOf(const routing_target &Target);
@@ -103,6 +106,7 @@
                                                    steady_time Deadline);
   boost::asio::awaitable<std::unique_ptr<upstream_connection>>
   connect(const routing_target &Target, steady_time Deadline);
+  static void closeBeyondShare(target_pool &Pool);
   void release(const std::string &Key,
                std::unique_ptr<upstream_connection> Returned);
 
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -106,6 +106,7 @@
       auto View = std::make_shared<routing_view>(*Context.View);
       Change(*View);
       Context.View = View;
+      Context.Pool.retain(*View);
     });
   }
   //! Publishes a routing view whose rules \p Change has modified.
