--- a/src/pomeloswitch/http/caller_body.cpp
+++ b/src/pomeloswitch/http/caller_body.cpp
@@ -13,6 +13,16 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+namespace {
+
+//! Maximum number of bytes that frame a body in chunks (sizes, extensions and
+//! trailer), beyond FramingRatio for each byte of it.
+constexpr std::uint64_t MaxFramingBytes = 64 * 1024;
+//! A chunk of one byte takes five bytes of framing.
+constexpr std::uint64_t FramingRatio = 8;
+
+} // namespace
+
 std::optional<std::uint64_t> caller_body::length() const {
   if (fullyBuffered())
     return Prefix.size();
@@ -54,8 +64,13 @@
   Body.size = Space.size();
   Caller.expires_after(CallerProgressTimeout);
   boost::system::error_code Error;
-  co_await http::async_read(Caller, Buffer, Request,
-                            asio::redirect_error(asio::use_awaitable, Error));
+  while (!Error && !Request.is_done() && Body.size > 0 && !Interrupted) {
+    const std::size_t Before = Body.size;
+    const std::size_t Count = co_await http::async_read_some(
+        Caller, Buffer, Request,
+        asio::redirect_error(asio::use_awaitable, Error));
+    countFraming(Count, Before - Body.size);
+  }
   const bool Ended = !Error || Error == http::error::need_buffer;
   const bool WasInterrupted =
       Interrupted && Error == asio::error::operation_aborted;
@@ -64,6 +79,15 @@
   co_return Space.size() - Body.size;
 }
 
+//! A size line or a trailer without end must not be kept or read for ever.
+void caller_body::countFraming(std::size_t Parsed, std::size_t Content) {
+  ContentBytes += Content;
+  FramingBytes += Parsed - Content;
+  if (FramingBytes > MaxFramingBytes + FramingRatio * ContentBytes)
+    throw boost::system::system_error(
+        make_error_code(http::error::buffer_overflow));
+}
+
 void caller_body::interrupt() {
   Interrupted = true;
   Caller.cancel();
--- a/src/pomeloswitch/http/caller_body.hpp
+++ b/src/pomeloswitch/http/caller_body.hpp
@@ -72,12 +72,15 @@
 
 private:
   boost::asio::awaitable<std::size_t> readInto(std::span<char> Space);
+  void countFraming(std::size_t Parsed, std::size_t Content);
 
   boost::beast::tcp_stream &Caller;
   boost::beast::flat_buffer &Buffer;
   request_stream_parser &Request;
   std::string Prefix;
   std::vector<char> Chunk;
+  std::uint64_t ContentBytes = 0; //!< Of the body, read so far.
+  std::uint64_t FramingBytes = 0; //!< Beside them, in a body in chunks.
   std::uint64_t Relayed = 0;
   std::size_t Unrelayed = 0; //!< Bytes of Chunk that went to no target.
   bool Interrupted = false;  //!< Whether the pending next() is to end.
--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/exchange.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
+#include "pomeloswitch/http/limited_read.hpp"
 #include "pomeloswitch/http/request_checks.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
@@ -36,6 +36,9 @@
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
+//! Maximum size of unparsed input, e.g. of a chunk's size line, unless a header
+//! may be larger.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
 tcp::acceptor listenOn(asio::io_context &Io, const tcp::endpoint &Address) {
   tcp::acceptor Acceptor(Io);
@@ -174,6 +177,9 @@
 
 asio::awaitable<bool> caller_server::readHeader(connection &Connection,
                                                 request_stream_parser &Parser) {
+  std::size_t Allowance = callerBounds().HeaderBytes;
+  Connection.Buffer.max_size(
+      std::max({Allowance, MaxUnparsedBytes, Connection.Buffer.size()}));
   error_code Error;
   if (Connection.Buffer.size() == 0) {
     Connection.Stream.expires_after(
@@ -188,15 +194,15 @@
   Connection.Stream.expires_after(
       std::min(Limits.HeaderTimeout,
                std::chrono::milliseconds(callerBounds().HeaderTimeoutMs)));
-  co_await http::async_read_header(
-      Connection.Stream, Connection.Buffer, Parser,
-      asio::redirect_error(asio::use_awaitable, Error));
-  if (Error == http::error::end_of_stream || Error == beast::error::timeout)
+  Error = co_await readLimited(Connection.Stream, Connection.Buffer, Parser,
+                               Allowance);
+  if (Error == asio::error::eof || Error == beast::error::timeout)
     co_return false;
   std::optional<pomelo_error> Refusal;
   try {
     if (Error)
-      throw pomelo_error(Error == http::error::header_limit
+      throw pomelo_error(Error == http::error::header_limit ||
+                                 Error == http::error::buffer_overflow
                              ? error_kind::HeaderTooLarge
                              : error_kind::BadRequest,
                          Error.message());
--- a/src/pomeloswitch/http/limited_read.cpp
+++ b/src/pomeloswitch/http/limited_read.cpp
@@ -14,13 +14,14 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
-using response_parser = http::basic_parser<false>;
-
-bool isComplete(const response_parser &Parser) {
+template <bool IsRequest>
+bool isComplete(const http::basic_parser<IsRequest> &Parser) {
   return Parser.eager() ? Parser.is_done() : Parser.is_header_done();
 }
 
-error_code parse(beast::flat_buffer &Buffer, response_parser &Parser,
+template <bool IsRequest>
+error_code parse(beast::flat_buffer &Buffer,
+                 http::basic_parser<IsRequest> &Parser,
                  std::size_t &Allowance) {
   if (Buffer.size() == 0)
     return http::error::need_more;
@@ -47,10 +48,10 @@
 
 } // namespace
 
-asio::awaitable<error_code> readLimited(beast::tcp_stream &Stream,
-                                        beast::flat_buffer &Buffer,
-                                        response_parser &Parser,
-                                        std::size_t &Allowance) {
+template <bool IsRequest>
+asio::awaitable<error_code>
+readLimited(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+            http::basic_parser<IsRequest> &Parser, std::size_t &Allowance) {
   while (!isComplete(Parser)) {
     error_code Error = parse(Buffer, Parser, Allowance);
     if (Error == http::error::need_more)
@@ -63,4 +64,13 @@
   co_return error_code();
 }
 
+template asio::awaitable<error_code> readLimited(beast::tcp_stream &,
+                                                 beast::flat_buffer &,
+                                                 http::basic_parser<true> &,
+                                                 std::size_t &);
+template asio::awaitable<error_code> readLimited(beast::tcp_stream &,
+                                                 beast::flat_buffer &,
+                                                 http::basic_parser<false> &,
+                                                 std::size_t &);
+
 } // namespace pomelo
--- a/src/pomeloswitch/http/limited_read.hpp
+++ b/src/pomeloswitch/http/limited_read.hpp
@@ -1,4 +1,4 @@
-//! Reads a target's response of limited size.
+//! Reads a message, or its header, of limited size.
 #ifndef POMELOSWITCH_HTTP_LIMITED_READ_HPP
 #define POMELOSWITCH_HTTP_LIMITED_READ_HPP
 
@@ -17,9 +17,11 @@
 //!
 //! The parser's own limit applies to what is not parsed yet, so it bounds
 //! neither a header whose fields arrive one by one nor a sequence of messages.
+//! Instantiated for requests and responses.
+template <bool IsRequest>
 boost::asio::awaitable<boost::system::error_code>
 readLimited(boost::beast::tcp_stream &Stream, boost::beast::flat_buffer &Buffer,
-            boost::beast::http::basic_parser<false> &Parser,
+            boost::beast::http::basic_parser<IsRequest> &Parser,
             std::size_t &Allowance);
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/http/simple_server.hpp"
 
 #include "pomeloswitch/http/accept_next.hpp"
+#include "pomeloswitch/http/limited_read.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
@@ -21,9 +21,12 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using boost::system::error_code;
 
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
-constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
+//! Maximum size of unparsed input, e.g. of a chunk's size line.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 constexpr auto IdleTimeout = std::chrono::seconds(60);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
 
@@ -40,16 +43,31 @@
   }
 }
 
+//! Reads a whole request. What frames the body counts as part of it.
+asio::awaitable<void>
+readRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+            http::request_parser<http::string_body> &Parser) {
+  std::size_t HeaderAllowance = MaxHeaderBytes;
+  error_code Error =
+      co_await readLimited(Stream, Buffer, Parser, HeaderAllowance);
+  std::size_t BodyAllowance = MaxBodyBytes;
+  Parser.eager(true);
+  if (!Error)
+    Error = co_await readLimited(Stream, Buffer, Parser, BodyAllowance);
+  if (Error)
+    throw boost::system::system_error(Error);
+}
+
 asio::awaitable<void> serve(tcp::socket Socket,
                             std::shared_ptr<const text_handler> Handler) {
   beast::tcp_stream Stream(std::move(Socket));
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   for (bool KeepAlive = true; KeepAlive;) {
     http::request_parser<http::string_body> Parser;
     Parser.header_limit(MaxHeaderBytes);
     Parser.body_limit(MaxBodyBytes);
     Stream.expires_after(IdleTimeout);
-    co_await http::async_read(Stream, Buffer, Parser, asio::use_awaitable);
+    co_await readRequest(Stream, Buffer, Parser);
     const text_request Request = Parser.release();
     text_response Response = co_await answer(*Handler, Request);
     KeepAlive = Request.keep_alive();
