--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -112,10 +112,16 @@
                          std::vector<wire::command> &Commands) {
   const target_member &Announced = Status.Announced;
   const auto Member = State.targets().find(Announced.TargetId);
-  if (Member == State.targets().end() ||
-      Member->second.Incarnation != Announced.Incarnation) {
-    if (!Announced.Leaving && serviceInForce(State, Announced) &&
-        State.mayJoin(Announced))
+  const bool Known = Member != State.targets().end();
+  if (!Known || Member->second.Incarnation != Announced.Incarnation) {
+    // The earlier process has ended. It stays a member until its slots are
+    // released, since its successor may have taken grants that were meant for
+    // it.
+    if (Known && Announced.Leaving && !Member->second.Leaving &&
+        Announced.Incarnation > Member->second.Incarnation)
+      Commands.push_back(markLeaving(Member->second));
+    else if (!Announced.Leaving && serviceInForce(State, Announced) &&
+             State.mayJoin(Announced))
       Commands.push_back(joinTarget(Announced));
     return;
   }
--- a/tests/platform/control_api_test.cpp
+++ b/tests/platform/control_api_test.cpp
@@ -89,12 +89,13 @@
              "header_timeout_s": 3, "idle_timeout_s": 15},
   "tenants": {"t": {"api_keys": ["k1"], "rate_per_s": 0}}})";
 
-std::string report(const std::string &Address) {
+std::string report(const std::string &Address, unsigned Born = 1,
+                   const std::string &State = "ready") {
   return fmt::format(
-      R"({{"address": "{}", "born": 1, "information": {{"service": "s",
-           "zone": "a", "slots": 4}}, "status": {{"state": "ready",
+      R"({{"address": "{}", "born": {}, "information": {{"service": "s",
+           "zone": "a", "slots": 4}}, "status": {{"state": "{}",
            "sequence": 1, "cold_remaining_s": 0}}}})",
-      Address);
+      Address, Born, State);
 }
 
 class odd_platform_call : public control_api_fixture,
@@ -133,5 +134,55 @@
                      "tenants": {"t": {"rate_per_s": "1e999"}}})"}),
     [](const auto &Info) { return Info.param.Name; });
 
+//! A call by which a target says that it leaves, and whether it then is still a
+//! member.
+struct leaving_call {
+  std::string Name;
+  std::string Path;
+  std::string Body;
+  bool StaysMember = false;
+};
+
+void PrintTo(const leaving_call &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class restarted_target : public control_api_fixture,
+                         public testing::WithParamInterface<leaving_call> {};
+
+// Guards against a leave that is confirmed while the earlier process with the
+// same id stays a member and gets requests (DRAIN, review/4, issue 38).
+TEST_P(restarted_target, is_no_member_once_its_leave_is_confirmed) {
+  ASSERT_EQ(post(ReplacePath, Configuration), std::nullopt);
+  const std::string Address = "127.0.0.1:4001";
+  ASSERT_EQ(post(HeartbeatPath + "t1", report(Address, 2)), std::nullopt);
+  while (!Host->state().targets().contains("t1"))
+    Io.run_one();
+  EXPECT_EQ(post(GetParam().Path, GetParam().Body), std::nullopt);
+  const auto Known = Host->state().targets().find("t1");
+  const bool Member =
+      Known != Host->state().targets().end() && !Known->second.Leaving;
+  EXPECT_EQ(Member, GetParam().StaysMember);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, restarted_target,
+    testing::Values(
+        leaving_call{"draining_report_of_a_later_start", HeartbeatPath + "t1",
+                     report("127.0.0.1:4001", 3, "draining")},
+        leaving_call{"leave_of_a_later_start", LeavePath + "t1",
+                     R"({"born": 3})"},
+        leaving_call{"draining_report_of_the_same_start", HeartbeatPath + "t1",
+                     R"({"address": "127.0.0.1:4001", "born": 2,
+                         "information": {"service": "s", "zone": "a",
+                                         "slots": 4},
+                         "status": {"state": "draining", "sequence": 2,
+                                    "cold_remaining_s": 0}})"},
+        leaving_call{"leave_of_the_same_start", LeavePath + "t1", ""},
+        leaving_call{"draining_report_of_an_earlier_start",
+                     HeartbeatPath + "t1",
+                     report("127.0.0.1:4001", 1, "draining"), true},
+        leaving_call{"leave_of_an_earlier_start", LeavePath + "t1",
+                     R"({"born": 1})", true}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo::platform
