--- a/src/pomeloswitch/raft/raft_replication.cpp
+++ b/src/pomeloswitch/raft/raft_replication.cpp
@@ -173,9 +173,15 @@
       Message.snapshot_request().snapshot();
   if (NewSnapshot.index() > Commit) {
     Snapshot = std::make_shared<const wire::raft_snapshot>(NewSnapshot);
-    Log.reset(*Snapshot);
+    // This host may have acknowledged entries after the snapshot: an earlier
+    // process on its folder knew of commits that it has not heard of yet.
+    if (Log.termAt(Snapshot->index()) == Snapshot->term()) {
+      Log.dropUpTo(Snapshot->index());
+    } else {
+      Log.reset(*Snapshot);
+      SyncedIndex = SyncedTerm = 0;
+    }
     Commit = LastTaken = Snapshot->index();
-    SyncedIndex = SyncedTerm = 0;
     SnapshotToInstall = Snapshot;
     Batch.Snapshot = Snapshot;
     Batch.Record.clear_entries();
--- a/tests/raft/raft_message_test.cpp
+++ b/tests/raft/raft_message_test.cpp
@@ -116,6 +116,56 @@
   EXPECT_EQ(Core->role(), raft_role::Leader);
 }
 
+struct received_snapshot {
+  std::string Name;
+  std::uint64_t Index = 0;
+  std::uint64_t Term = 0;
+  std::uint64_t LastIndexAfter = 0;
+};
+
+void PrintTo(const received_snapshot &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class snapshot_message : public raft_messages,
+                         public testing::WithParamInterface<received_snapshot> {
+};
+
+// Guards against a snapshot that removes entries after it which this host has
+// acknowledged: the leader may have counted on them (issue 38).
+TEST_P(snapshot_message, removes_no_entries_that_continue_it) {
+  wire::raft_message Message = from("2", 2);
+  auto *Snapshot = Message.mutable_snapshot_request()->mutable_snapshot();
+  Snapshot->set_index(GetParam().Index);
+  Snapshot->set_term(GetParam().Term);
+  *Snapshot->mutable_config() = Core->log().config();
+  Core->receive(Message, Now);
+  EXPECT_EQ(Core->log().lastIndex(), GetParam().LastIndexAfter);
+  EXPECT_EQ(Core->commitIndex(), GetParam().Index);
+  const storage_batch Batch = Core->takeBatch();
+  ASSERT_TRUE(Batch.Snapshot);
+  EXPECT_EQ(Batch.EntriesAfterSnapshot.size(),
+            GetParam().LastIndexAfter - GetParam().Index);
+  Core->synced(Batch, Now);
+  Now += raft_times().ElectionMin;
+  wire::raft_message Request = from("3", 3);
+  Request.mutable_vote_request()->set_last_index(GetParam().Index);
+  Request.mutable_vote_request()->set_last_term(GetParam().Term);
+  Core->receive(Request, Now);
+  const storage_batch Answer = Core->takeBatch();
+  ASSERT_EQ(Answer.SendAfter.size(), 1U);
+  EXPECT_EQ(Answer.SendAfter[0].vote_answer().granted(),
+            GetParam().LastIndexAfter == GetParam().Index);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, snapshot_message,
+    testing::Values(received_snapshot{"within_the_log", 3, 1, 5},
+                    received_snapshot{"at_its_end", 5, 1, 5},
+                    received_snapshot{"after_it", 7, 1, 7},
+                    received_snapshot{"of_another_history", 3, 2, 3}),
+    [](const auto &Info) { return Info.param.Name; });
+
 TEST_F(raft_messages,
        entries_of_an_earlier_term_are_not_committed_by_counting) {
   becomeLeader();
