--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "pomeloswitch/http/account_admission.hpp"
 #include "pomeloswitch/http/claim_exchange.hpp"
-#include "pomeloswitch/http/crash_check.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/response_relay.hpp"
 
@@ -106,20 +105,6 @@
   co_await http::async_write(Caller, Continue, asio::use_awaitable);
 }
 
-std::string exchange::fingerprint() const {
-  return fingerprintOf({Plan.Account, Request.get().method_string(),
-                        Request.get().target(), Body.prefix(), Body.length()});
-}
-
-void exchange::rejectPoisonRequest() const {
-  const auto &Crashes = Context.View->Crashes;
-  if (!Crashes || Crashes->size() == 0)
-    return;
-  if (Crashes->isPoison(fingerprint(), Context.View->TimeMs))
-    throw pomelo_error(error_kind::PoisonRequest,
-                       "the same request was running when two targets crashed");
-}
-
 //! Claims the request's Idempotency-Key. Returns true if the request has been
 //! answered with the recorded response to an earlier request.
 asio::awaitable<bool> exchange::claimOrReplay() {
@@ -362,36 +347,6 @@
   return Context.Dialect.headerForTarget(Request.get(), Metadata);
 }
 
-//! Whether the target has said, here or to the control group, that it leaves.
-bool exchange::isLeaving(const routing_target &Target) const {
-  const auto Known = Context.View->Targets.find(Target.Member.TargetId);
-  const bool Announced =
-      Known != Context.View->Targets.end() && Known->second->Member.Leaving;
-  return Announced || Context.Sending.Notices.of(Target).Leaving;
-}
-
-//! A target that closed its connection without a response may have crashed
-//! because of the request. A confirmed crash is reported to the control group
-//! before the request is sent to another target.
-asio::awaitable<void>
-exchange::handleConnectionLoss(routing_target_ptr Target) {
-  const crash_report Report{fingerprint(), Target->Member.TargetId,
-                            Target->Member.Incarnation};
-  // A crash of a target that announces its start time is confirmed by a later
-  // start time, since a refused connection may also be caused by the network in
-  // between.
-  const bool ReportsStartTime = Target->Member.StartedMs > 0;
-  const bool Refuses =
-      !ReportsStartTime && co_await refusesConnections(Target->Address);
-  if (!Refuses) {
-    if (!isLeaving(*Target))
-      Context.ConnectionLosses.add(Report, Target->Member, steady_clock::now());
-    co_return;
-  }
-  co_await awaitCrashReport(*Context.Records, Context.Io.get_executor(),
-                            Report);
-}
-
 //! Decides on a retry. Once the request was sent to a target, each retry spends
 //! from the service's retry budget.
 bool exchange::mayRetry(error_kind Kind) {
@@ -420,18 +375,6 @@
     Connection.returnToPool();
 }
 
-//! Clears a request that has run to completion of all crashes.
-void exchange::clearSuspicion() {
-  const auto &Crashes = Context.View->Crashes;
-  const bool AnyConfirmed = Crashes && Crashes->size() > 0;
-  if (!AnyConfirmed && Context.ConnectionLosses.empty())
-    return;
-  const std::string Fingerprint = fingerprint();
-  Context.ConnectionLosses.discard(Fingerprint);
-  if (AnyConfirmed && Crashes->isSuspect(Fingerprint))
-    Context.Records->clearSuspect(Fingerprint);
-}
-
 asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   co_await writeResponse(
       Context.Dialect.errorResponse(Refusal, Request.get().version()));
