Connection pool: a connection that is promised to a waiting request is not closed

Found while reading the diff: between the release of a connection to a waiting request and the moment in which that takes it, it is among the idle ones and its request counts as in use, so that it looked like one beyond the share and was closed; the request then opened a new one. Not measured.

--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -102,8 +102,10 @@
   // the waiter inherits the released slot, and then cancels its timer.
   auto &Waiters = Pools[Key].Waiters;
   const auto Place = std::find(Waiters.begin(), Waiters.end(), &Timer);
-  if (Place == Waiters.end())
+  if (Place == Waiters.end()) {
+    --Pools[Key].Promised;
     co_return;
+  }
   Waiters.erase(Place);
   throw pomelo_error(error_kind::Overloaded,
                      "no connection to the target became available in time");
@@ -126,8 +128,10 @@
   co_return Connection;
 }
 
+//! What is promised is among the idle ones until it is taken.
 void upstream_pool::closeBeyondShare(target_pool &Pool) {
-  while (!Pool.Idle.empty() && Pool.InUse + Pool.Idle.size() > Pool.Share)
+  while (!Pool.Idle.empty() &&
+         Pool.InUse - Pool.Promised + Pool.Idle.size() > Pool.Share)
     Pool.Idle.pop_front();
 }
 
@@ -142,6 +146,7 @@
   }
   waiter *Next = Pool.Waiters.front();
   Pool.Waiters.pop_front();
+  ++Pool.Promised;
   Next->cancel();
 }
 
--- a/src/pomeloswitch/http/upstream_pool.hpp
+++ b/src/pomeloswitch/http/upstream_pool.hpp
@@ -95,7 +95,9 @@
   struct target_pool {
     std::deque<std::unique_ptr<upstream_connection>> Idle;
     std::deque<waiter *> Waiters;
-    std::size_t InUse = 0;
+    std::size_t InUse = 0; //!< Connections of requests, or promised to them.
+    //! Requests that have been promised a connection and have yet to take it.
+    std::size_t Promised = 0;
     std::size_t Share = 1; //!< The latest ConnectionShare of the target.
   };
 
