Crashes: targets that are taken out, or answer later, have not crashed

Cause: since a start under a new id confirms a crash, every connection lost in the 10 s before counts. Here targets had reset connections with answers (13 to 17 s), were taken out by the operators (14.7 s) and came back with new ids (21 s).

Why this works: a target that gets no new work may end by plan, so its losses are no evidence, as for one that says it leaves; and a target that answers a request which was sent after the loss had not ended.

--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -75,7 +75,7 @@
   void recordNotice(const slot_owner &Owner, const target_dispatch &Dispatch);
   void recordAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
                      std::chrono::steady_clock::time_point SentAt);
-  [[nodiscard]] bool isLeaving(const routing_target &Target) const;
+  [[nodiscard]] bool mayEndByPlan(const routing_target &Target) const;
   void clearSuspicion();
   boost::asio::awaitable<void> handleConnectionLoss(routing_target_ptr Target);
   [[nodiscard]] bool mayRetry(error_kind Kind);
--- a/src/pomeloswitch/http/exchange_crashes.cpp
+++ b/src/pomeloswitch/http/exchange_crashes.cpp
@@ -25,12 +25,12 @@
                        "the same request was running when two targets crashed");
 }
 
-//! Whether the target has said, here or to the control group, that it leaves.
-bool exchange::isLeaving(const routing_target &Target) const {
+//! Whether the target has been taken out or has said that it leaves.
+bool exchange::mayEndByPlan(const routing_target &Target) const {
   const auto Known = Context.View->Targets.find(Target.Member.TargetId);
-  const bool Announced =
-      Known != Context.View->Targets.end() && Known->second->Member.Leaving;
-  return Announced || Context.Sending.Notices.of(Target).Leaving;
+  const bool TakenOut =
+      Known != Context.View->Targets.end() && !Known->second->AcceptsNewWork;
+  return TakenOut || Context.Sending.Notices.of(Target).Leaving;
 }
 
 //! A target that closed its connection without a response may have crashed
@@ -47,7 +47,7 @@
   const bool Refuses =
       !ReportsStartTime && co_await refusesConnections(Target->Address);
   if (!Refuses) {
-    if (!isLeaving(*Target))
+    if (!mayEndByPlan(*Target))
       Context.ConnectionLosses.add(Report, Target->Member, steady_clock::now());
     co_return;
   }
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -145,6 +145,8 @@
   const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
   Context.Sending.Statistics.recordOutcome(*Owner.Target, End, Now - SentAt,
                                            Now);
+  if (End == send_outcome::Answered || End == send_outcome::Shed)
+    Context.ConnectionLosses.answered(Owner.Target->Member, SentAt);
   boost::json::object Entry{{"target", Owner.Target->Member.TargetId},
                             {"sent_ms", millisecondsOf(SentAt - StartedAt)},
                             {"took_ms", millisecondsOf(Now - SentAt)},
--- a/src/pomeloswitch/retry/crash_detector.hpp
+++ b/src/pomeloswitch/retry/crash_detector.hpp
@@ -15,8 +15,9 @@
 //! Holds a crash report for each request whose target closed the connection
 //! without an answer. The crash is confirmed if a process of the same service
 //! that started later joins soon afterwards, under the id of the target or at
-//! its address. Otherwise the report is discarded, also if the target leaves by
-//! plan or the same request runs to completion meanwhile.
+//! its address. Otherwise the report is discarded, also if the target has been
+//! taken out and may end by plan, if it answers a later request, or if the same
+//! request runs to completion meanwhile.
 class crash_detector {
 public:
   using time_point = std::chrono::steady_clock::time_point;
@@ -28,11 +29,15 @@
   //! Discards the reports on a request that has run to completion.
   void discard(std::string_view Fingerprint);
 
+  //! Discards the reports on \p Target that are older than a request which was
+  //! sent to it at \p SentAt and which it has answered.
+  void answered(const target_member &Target, time_point SentAt);
+
   //! Returns whether no report is pending.
   [[nodiscard]] bool empty() const { return Pending.empty(); }
 
   //! Removes and returns the reports whose target has started again; removes
-  //! expired reports and those on targets that leave.
+  //! expired reports and those on targets that are taken out.
   std::vector<crash_report> takeConfirmedCrashes(const routing_view &View,
                                                  time_point Now);
 
@@ -40,7 +45,7 @@
   struct suspected_crash {
     crash_report Report;
     target_member Lost;
-    time_point ExpiresAt;
+    time_point LostAt;
   };
 
   std::deque<suspected_crash> Pending; //!< Oldest first.
