Servers: one constant for the most unparsed input

MaxUnparsedBytes stood in caller_server.cpp and simple_server.cpp; it is in limited_read.hpp now. No change of behaviour.

--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -36,9 +36,6 @@
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
-//! Maximum size of unparsed input, e.g. of a chunk's size line, unless a header
-//! may be larger.
-constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
 tcp::acceptor listenOn(asio::io_context &Io, const tcp::endpoint &Address) {
   tcp::acceptor Acceptor(Io);
--- a/src/pomeloswitch/http/limited_read.cpp
+++ b/src/pomeloswitch/http/limited_read.cpp
@@ -14,6 +14,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
+
 template <bool IsRequest>
 bool isComplete(const http::basic_parser<IsRequest> &Parser) {
   return Parser.eager() ? Parser.is_done() : Parser.is_header_done();
--- a/src/pomeloswitch/http/limited_read.hpp
+++ b/src/pomeloswitch/http/limited_read.hpp
@@ -11,6 +11,10 @@
 
 namespace pomelo {
 
+//! Maximum size of unparsed input of a server, e.g. of a chunk's size line,
+//! unless a header may be larger.
+inline constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
 //! Reads until \p Parser has the whole message if it is eager, or else its
 //! header. The number of bytes parsed is subtracted from \p Allowance; returns
 //! http::error::buffer_overflow when it would become negative.
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -25,8 +25,6 @@
 
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
-//! Maximum size of unparsed input, e.g. of a chunk's size line.
-constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 constexpr auto IdleTimeout = std::chrono::seconds(60);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
 
