--- a/tests/platform/configuration_codec_test.cpp
+++ b/tests/platform/configuration_codec_test.cpp
@@ -71,6 +71,33 @@
   EXPECT_THROW(authenticate(State.keys(), Secret, "Bearer k4"), pomelo_error);
 }
 
+struct kind_case {
+  const char *Kind;
+  bool Idempotent;
+};
+
+class route_kind_in_configuration : public testing::TestWithParam<kind_case> {};
+
+// Guards against a configuration that is refused as a whole because one of its
+// routes has a kind that the adapter does not know, as "download" was.
+TEST_P(route_kind_in_configuration, decides_whether_requests_may_be_repeated) {
+  cluster_state State;
+  std::string Route = route("one", "h", "/a/", DefaultFields);
+  const std::string Safe = R"("safe")";
+  Route.replace(Route.find(Safe), Safe.size(),
+                fmt::format(R"("{}")", GetParam().Kind));
+  ASSERT_TRUE(applyConfiguration(State, configuration(Route)).accepted());
+  EXPECT_EQ(State.sharedRules()->Routes.front().Idempotent,
+            GetParam().Idempotent);
+}
+
+INSTANTIATE_TEST_SUITE_P(each_kind, route_kind_in_configuration,
+                         testing::Values(kind_case{"safe", true},
+                                         kind_case{"unsafe", false},
+                                         kind_case{"upload", false},
+                                         kind_case{"download", true}),
+                         [](const auto &Info) { return Info.param.Kind; });
+
 TEST(configuration, changes_nothing_under_a_number_that_is_not_higher) {
   cluster_state State;
   const std::string First =
