--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -35,6 +35,10 @@
   return http::to_status_class(Response.get().result_int());
 }
 
+bool hasValidStatus(const response_stream_parser &Response) {
+  return statusClassOf(Response) != http::status_class::unknown;
+}
+
 bool isInformational(const response_stream_parser &Response) {
   return statusClassOf(Response) == http::status_class::informational;
 }
@@ -78,7 +82,7 @@
          "sending the request to the target timed out");
   // A target may respond and close the connection before it has read the whole
   // request. Its response can still be read, so a write error is not final.
-  RequestFullySent = !Error;
+  recordSent(Error, true);
 }
 
 //! Sends a body that is buffered, but large.
@@ -98,7 +102,7 @@
     Error = co_await writePiece(Message, Serializer, {});
   if (Error == beast::error::timeout)
     fail(attempt_failure::TimedOut, "sending the body to the target timed out");
-  RequestFullySent = !Error;
+  recordSent(Error, true);
 }
 
 //! Writes a piece of the body in parts, each once the link is free for it. An
@@ -158,7 +162,13 @@
   }
   if (Error == beast::error::timeout)
     fail(attempt_failure::TimedOut, "sending the body to the target timed out");
-  RequestFullySent = !Error && !EarlyResponse && Serializer.is_done();
+  recordSent(Error, !EarlyResponse && Serializer.is_done());
+}
+
+//! A write that was cancelled because of an early response has not failed.
+void target_dispatch::recordSent(error_code Error, bool Complete) {
+  RequestFullySent = !Error && Complete;
+  SendFailed = Error && Error != asio::error::operation_aborted;
 }
 
 asio::awaitable<void>
@@ -232,6 +242,9 @@
 }
 
 void target_dispatch::checkResponse() {
+  if (!hasValidStatus(*Response))
+    rejectResponse("the status of the target's response is not a number from "
+                   "100 to 599");
   if (Connection.Reused && !Metadata.NamesRequest)
     rejectResponse("the target's response names no request and may be an "
                    "earlier one");
@@ -252,6 +265,12 @@
       !Response->content_length() && !Dialect.allowsCloseDelimitedResponse())
     fail(attempt_failure::ProtocolError,
          "the target's response is neither chunked nor has a Content-Length");
+  // The failed write has consumed the connection's error, so a reset would read
+  // as an orderly end.
+  if (SendFailed && Response->need_eof())
+    fail(attempt_failure::ProtocolError,
+         "the connection failed while the request was sent, so that the end of "
+         "the target's response cannot be verified");
   Progress = attempt_progress::Answered;
 }
 
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -93,6 +93,7 @@
              std::span<const char> Piece);
   boost::asio::awaitable<void> streamBody(const request_header &Header,
                                           std::uint64_t MaxBodyBytes);
+  void recordSent(boost::system::error_code Error, bool Complete);
   boost::asio::awaitable<bool> readHeader();
   [[noreturn]] void failRead(boost::system::error_code Error);
   boost::asio::awaitable<void> discardResponse();
@@ -120,6 +121,7 @@
   attempt_failure FailureCause = attempt_failure::None;
   bool ResponseHasNoBody = false; //!< The request was a HEAD.
   bool RequestFullySent = false;
+  bool SendFailed = false; //!< A write reported an error of the connection.
   //! The target responded before the body was streamed to its end.
   bool EarlyResponse = false;
 };
