Targets: a host of many uses a subset of the targets of a service without keys

Load that it answers: many hosts with few requests each choose among many targets. With 68 hosts and 105 targets a host meets each target about once in eight seconds, while what it knows of its load fades in 0.3 s.

Change: entry hosts and targets are placed on a ring by the replicated state; a host uses the first targets from its own place on, as many as it meets about twice a second, at least 8, and all of them where the subset would not be much smaller. Targets that are lost, leave or are in backoff are passed over; cold ones are used beside the subset; while all are full, up to twice as many are used. A new request that would wait too long behind others is refused at once, with a time to return that is spread over the time in which the queue empties.

Also: choosing a target no longer copies the service.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -203,7 +203,7 @@
 }
 
 void entry_host::onState(const cluster_state &State) {
-  const auto View = makeRoutingView(State, Threads.size());
+  const auto View = makeRoutingView(State, Threads.size(), Settings.HostId);
   for (const auto &Thread : Threads)
     Thread->adoptView(View);
   Announcements->onState(State);
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -2,6 +2,7 @@
 
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/observe/log.hpp"
+#include "pomeloswitch/routing/target_ring.hpp"
 #include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 
@@ -56,14 +57,16 @@
 routing_service restrictToDomain(const routing_service &Service,
                                  std::string_view FailureDomain) {
   routing_service Result = Service;
-  std::erase_if(Result.Targets, [FailureDomain](const auto &Target) {
-    return Target->Member.FailureDomain != FailureDomain;
-  });
+  for (auto *Targets : {&Result.Targets, &Result.Ring})
+    std::erase_if(*Targets, [FailureDomain](const auto &Target) {
+      return Target->Member.FailureDomain != FailureDomain;
+    });
   return Result;
 }
 
 std::shared_ptr<const routing_view> makeRoutingView(const cluster_state &State,
-                                                    std::size_t Threads) {
+                                                    std::size_t Threads,
+                                                    std::string_view HostId) {
   auto View = std::make_shared<routing_view>();
   View->Index = State.index();
   View->ConfigVersion = State.configVersion();
@@ -74,6 +77,7 @@
   View->Crashes = State.sharedCrashes();
   View->TimeMs = State.timeMs();
   View->EntryHosts = std::max<std::size_t>(1, State.entryHosts().size());
+  View->RingPosition = ringPosition(State.entryHosts(), HostId);
   for (const service &Service : View->Inventory->Services)
     View->Services[Service.Name] = {
         Service.Name, State.sharedSlots(Service.Name), {}, Service.KeySpace,
@@ -87,6 +91,9 @@
       Service->second.Targets.push_back(Target);
     View->Targets.emplace(Id, std::move(Target));
   }
+  for (auto &[Name, Service] : View->Services)
+    if (!Service.Slots)
+      Service.Ring = makeTargetRing(Service.Targets);
   return View;
 }
 
--- a/src/pomeloswitch/routing/routing_view.hpp
+++ b/src/pomeloswitch/routing/routing_view.hpp
@@ -31,6 +31,8 @@
   std::uint32_t KeySpace = 0;   //!< From the inventory.
   key_source Key;               //!< From the inventory.
   double ColdRatePerSecond = 0; //!< From the inventory.
+  //! The targets of a service that is not keyed, see makeTargetRing().
+  std::vector<routing_target_ptr> Ring = {};
 };
 
 struct routing_view {
@@ -43,17 +45,19 @@
   std::shared_ptr<const crash_table> Crashes;
   std::uint64_t TimeMs = 0;   //!< Unix time of the latest command, ms.
   std::size_t EntryHosts = 1; //!< Number that share fleet-wide limits.
+  double RingPosition = 0;    //!< Of this host, see ringPosition().
   std::map<std::string, routing_service, std::less<>> Services;
   std::map<std::string, routing_target_ptr, std::less<>> Targets;
 
   [[nodiscard]] const routing_service *findService(std::string_view Name) const;
 };
 
-//! Builds the view of \p State for an entry host with \p Threads traffic
-//! threads. The connections of each target are divided evenly among all traffic
-//! threads of all entry hosts.
-std::shared_ptr<const routing_view> makeRoutingView(const cluster_state &State,
-                                                    std::size_t Threads = 1);
+//! Builds the view of \p State for the entry host \p HostId with \p Threads
+//! traffic threads. The connections of each target are divided evenly among all
+//! traffic threads of all entry hosts.
+std::shared_ptr<const routing_view>
+makeRoutingView(const cluster_state &State, std::size_t Threads = 1,
+                std::string_view HostId = {});
 
 //! Returns a copy of \p Service with only the targets in \p FailureDomain.
 routing_service restrictToDomain(const routing_service &Service,
--- a/src/pomeloswitch/routing/target_choice.cpp
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -41,26 +41,32 @@
   return Slot.Token == Owner.Token && Slot.Phase == slot_phase::Active;
 }
 
+bool isExcluded(const routing_target &Target,
+                std::span<const std::string> Excluded) {
+  return std::find(Excluded.begin(), Excluded.end(), Target.Member.TargetId) !=
+         Excluded.end();
+}
+
+void weighted_choice::offer(const routing_target_ptr &Target, double Load) {
+  std::uniform_real_distribution<double> Jitter(1.0, MaxJitterFactor);
+  const double JitteredLoad = Load * Jitter(Random);
+  if (Best && JitteredLoad >= BestLoad)
+    return;
+  Best = Target;
+  BestLoad = JitteredLoad;
+}
+
 routing_target_ptr
 chooseBest(const routing_service &Service,
            std::span<const std::string> Excluded,
            const std::function<bool(const routing_target &)> &Usable,
            const load_estimate &Load, random_engine &Random) {
-  std::uniform_real_distribution<double> Jitter(1.0, MaxJitterFactor);
-  routing_target_ptr Best;
-  double BestLoad = 0;
-  for (const auto &Target : Service.Targets) {
-    const bool Skipped = std::find(Excluded.begin(), Excluded.end(),
-                                   Target->Member.TargetId) != Excluded.end();
-    if (Skipped || !Target->AcceptsNewWork || !Usable(*Target))
-      continue;
-    const double JitteredLoad = Load(*Target) * Jitter(Random);
-    if (Best && JitteredLoad >= BestLoad)
-      continue;
-    Best = Target;
-    BestLoad = JitteredLoad;
-  }
-  return Best;
+  weighted_choice Choice(Random);
+  for (const auto &Target : Service.Targets)
+    if (Target->AcceptsNewWork && !isExcluded(*Target, Excluded) &&
+        Usable(*Target))
+      Choice.offer(Target, Load(*Target));
+  return Choice.best();
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/routing/target_choice.hpp
+++ b/src/pomeloswitch/routing/target_choice.hpp
@@ -37,10 +37,28 @@
 //! Estimates the load of a target as seen from this host; lower is better.
 using load_estimate = std::function<double(const routing_target &)>;
 
+[[nodiscard]] bool isExcluded(const routing_target &Target,
+                              std::span<const std::string> Excluded);
+
+//! Keeps the target with the lowest load of those offered. Each load is
+//! multiplied by a random jitter so that several entry hosts do not all choose
+//! the same target.
+class weighted_choice {
+public:
+  explicit weighted_choice(random_engine &Random) : Random(Random) {}
+
+  void offer(const routing_target_ptr &Target, double Load);
+  //! Null if no target was offered.
+  [[nodiscard]] const routing_target_ptr &best() const { return Best; }
+
+private:
+  random_engine &Random;
+  routing_target_ptr Best;
+  double BestLoad = 0;
+};
+
 //! Returns the target with the lowest load among those that accept new work,
-//! satisfy \p Usable and are not in \p Excluded; null if there is none. \p Load
-//! is multiplied by a random jitter so that several entry hosts do not all
-//! choose the same target.
+//! satisfy \p Usable and are not in \p Excluded; null if there is none.
 routing_target_ptr
 chooseBest(const routing_service &Service,
            std::span<const std::string> Excluded,
--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -199,6 +199,13 @@
                                        windowOf(*Record, Bounded));
 }
 
+double target_statistics::throughput(const routing_target &Target) const {
+  const record *Record = find(Target);
+  if (!Record || Record->Window == 0)
+    return std::max<std::uint32_t>(1, Target.Member.Slots) / DefaultSeconds;
+  return Record->Window / std::max(DefaultSeconds, Record->AverageSeconds);
+}
+
 double target_statistics::score(const routing_target &Target,
                                 time_point Now) const {
   const double Slots = std::max<std::uint32_t>(1, Target.Member.Slots);
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -91,6 +91,9 @@
   [[nodiscard]] std::chrono::duration<double>
   expectedWait(const routing_target &Target, std::size_t Ahead,
                bool Bounded = false) const;
+  //! Requests per second that the target takes of this host, by its window and
+  //! its average latency.
+  [[nodiscard]] double throughput(const routing_target &Target) const;
   //! Load estimate: average latency scaled by the outstanding requests per
   //! slot, the reported slowdown and the failure rate. Lower is better.
   [[nodiscard]] double score(const routing_target &Target,
--- a/src/pomeloswitch/sending/send_state.hpp
+++ b/src/pomeloswitch/sending/send_state.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_SENDING_SEND_STATE_HPP
 #define POMELOSWITCH_SENDING_SEND_STATE_HPP
 
+#include "pomeloswitch/routing/arrival_rates.hpp"
 #include "pomeloswitch/routing/cold_target_limiter.hpp"
 #include "pomeloswitch/routing/owner_shares.hpp"
 #include "pomeloswitch/routing/slot_rate_meter.hpp"
@@ -29,6 +30,7 @@
   owner_shares OwnerShares;
   wait_queues WaitQueues;
   slot_rate_meter SlotRates;
+  arrival_rates Arrivals; //!< Of requests without a key.
   link_pacer Link;
 };
 
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -91,6 +92,9 @@
 std::optional<slot_owner>
 target_selection::decideByLoad(const routing_view &View, bool Authoritative,
                                time_point Now) {
+  const bool IsNew = !std::exchange(ArrivalRecorded, true);
+  if (IsNew)
+    State.Arrivals.recordArrival(Request.Service, Now);
   enqueue(Request.Service);
   if (Position->requestsAhead() == 0)
     if (auto Target = choose(View, Authoritative, Now)) {
@@ -99,6 +103,8 @@
       return Selected;
     }
   refuseIfUnwanted(View, Now);
+  if (IsNew)
+    refuseIfQueueTooLong(View, Now);
   if (Now + PollInterval >= WaitDeadline)
     throw pomelo_error(error_kind::NoTarget,
                        "the service has no target that accepts new work");
@@ -134,10 +140,19 @@
   const routing_service *Service = View.findService(Request.Service);
   if (!Service)
     return nullptr;
-  const auto Usable = [&](const routing_target &Target) {
-    return canTakeRequest(Target, Now) &&
-           admitIfCold(View, *Service, Target, false, Now);
-  };
+  auto Target =
+      Authoritative
+          ? chooseAmong(View, *Service, Now)
+          : chooseAmong(View, restrictToDomain(*Service, State.FailureDomain),
+                        Now);
+  if (Target)
+    admitIfCold(View, *Service, *Target, true, Now);
+  return Target;
+}
+
+routing_target_ptr target_selection::chooseAmong(const routing_view &View,
+                                                 const routing_service &Service,
+                                                 time_point Now) {
   const double CrossDomainCost =
       CrossDomainSeconds +
       static_cast<double>(Request.BodyBytes) * CrossDomainSecondsPerByte;
@@ -145,13 +160,36 @@
     const bool Near = Target.Member.FailureDomain == State.FailureDomain;
     return State.Statistics.score(Target, Now) + (Near ? 0 : CrossDomainCost);
   };
-  auto Target = chooseBest(
-      Authoritative ? *Service
-                    : restrictToDomain(*Service, State.FailureDomain),
-      Request.ExcludedTargets, Usable, Load, State.Random);
-  if (Target)
-    admitIfCold(View, *Service, *Target, true, Now);
-  return Target;
+  const target_predicates Predicates = makePredicates(View, Service, Now);
+  const std::size_t Size = subsetSizeOf(View, Service, Now);
+  if (Size >= Service.Targets.size())
+    return chooseBest(Service, Request.ExcludedTargets, Predicates.HasRoom,
+                      Load, State.Random);
+  return chooseFromSubset(Service, View.RingPosition, Size,
+                          Request.ExcludedTargets, Predicates, Load,
+                          State.Random);
+}
+
+std::size_t target_selection::subsetSizeOf(const routing_view &View,
+                                           const routing_service &Service,
+                                           time_point Now) const {
+  return subsetSize(State.Arrivals.perSecond(Service.Name, Now),
+                    Service.Targets.size(), View.EntryHosts);
+}
+
+target_predicates target_selection::makePredicates(
+    const routing_view &View, const routing_service &Service, time_point Now) {
+  return {[this, Now](const routing_target &Target) {
+            return State.Notices.of(Target).wantsRequests(Now) &&
+                   State.Statistics.usable(Target, Now);
+          },
+          [this, Now](const routing_target &Target) {
+            return !isCold(Target, Now);
+          },
+          [this, &View, &Service, Now](const routing_target &Target) {
+            return canTakeRequest(Target, Now) &&
+                   admitIfCold(View, Service, Target, false, Now);
+          }};
 }
 
 bool target_selection::canTakeRequest(const routing_target &Target,
@@ -161,15 +199,18 @@
          State.Statistics.hasRoom(Target, Now, Bounded);
 }
 
+bool target_selection::isCold(const routing_target &Target,
+                              time_point Now) const {
+  return Target.Member.Cold || State.Statistics.mayBeCold(Target, Now);
+}
+
 //! Limits the requests that all entry hosts together send to a cold target.
 //! Targets that are not cold are always admitted.
 bool target_selection::admitIfCold(const routing_view &View,
                                    const routing_service &Service,
                                    const routing_target &Target, bool Consume,
                                    time_point Now) {
-  const bool Cold =
-      Target.Member.Cold || State.Statistics.mayBeCold(Target, Now);
-  if (!Cold || Service.ColdRatePerSecond <= 0)
+  if (!isCold(Target, Now) || Service.ColdRatePerSecond <= 0)
     return true;
   return State.ColdLimiter.admit(Target.Member.TargetId,
                                  Service.ColdRatePerSecond /
@@ -206,6 +247,36 @@
       MinRetryAfter + std::chrono::duration_cast<milliseconds>(Spread));
 }
 
+//! Refuses a new request immediately, with a retry time, if the requests ahead
+//! of it take longer than its deadline for waiting to find a target.
+void target_selection::refuseIfQueueTooLong(const routing_view &View,
+                                            time_point Now) {
+  const std::size_t Ahead = Position->requestsAhead();
+  const routing_service *Service = View.findService(Request.Service);
+  if (Ahead == 0 || !Service)
+    return;
+  double PerSecond = 0;
+  for (const routing_target_ptr &Target : subsetMembers(
+           *Service, View.RingPosition, subsetSizeOf(View, *Service, Now),
+           Request.ExcludedTargets, makePredicates(View, *Service, Now)))
+    PerSecond += State.Statistics.throughput(*Target);
+  const std::chrono::duration<double> Expected(
+      PerSecond > 0 ? static_cast<double>(Ahead) / PerSecond : 0);
+  if (Now + Expected <= WaitDeadline)
+    return;
+  // Those who are refused together return one after the other while the queue
+  // ahead of them empties.
+  std::uniform_real_distribution<> Uniform(0.5, 1);
+  throw pomelo_error(
+      error_kind::Overloaded,
+      fmt::format("{} requests are already waiting for the service, which will "
+                  "not take this one in time",
+                  Ahead),
+      std::clamp(std::chrono::duration_cast<milliseconds>(
+                     Expected * Uniform(State.Random)),
+                 MinRetryAfter, MaxRetryAfter));
+}
+
 //! Refuses the request immediately, with a retry time, if its expected wait
 //! exceeds the deadline for waiting.
 void target_selection::refuseIfWaitTooLong(const routing_target &Target,
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -6,6 +6,7 @@
 #ifndef POMELOSWITCH_SENDING_TARGET_SELECTION_HPP
 #define POMELOSWITCH_SENDING_TARGET_SELECTION_HPP
 
+#include "pomeloswitch/routing/target_subset.hpp"
 #include "pomeloswitch/sending/send_state.hpp"
 
 #include <chrono>
@@ -59,22 +60,35 @@
                                          bool Authoritative, time_point Now);
   [[nodiscard]] routing_target_ptr choose(const routing_view &View,
                                           bool Authoritative, time_point Now);
+  [[nodiscard]] routing_target_ptr chooseAmong(const routing_view &View,
+                                               const routing_service &Service,
+                                               time_point Now);
+  [[nodiscard]] std::size_t subsetSizeOf(const routing_view &View,
+                                         const routing_service &Service,
+                                         time_point Now) const;
+  //! The result refers to the arguments.
+  [[nodiscard]] target_predicates makePredicates(const routing_view &View,
+                                                 const routing_service &Service,
+                                                 time_point Now);
   [[nodiscard]] bool canTakeRequest(const routing_target &Target,
                                     time_point Now) const;
+  [[nodiscard]] bool isCold(const routing_target &Target, time_point Now) const;
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
   void enqueue(const std::string &QueueName);
   void refuseIfUnwanted(const routing_view &View, time_point Now) const;
   void refuseBeyondShare(const routing_target &Owner, time_point Now);
   void refuseIfWaitTooLong(const routing_target &Target, time_point Now) const;
+  void refuseIfQueueTooLong(const routing_view &View, time_point Now);
   [[noreturn]] static void refuseKey(bool Authoritative, bool Owned);
 
   send_state &State;
   pending_request Request;
   time_point WaitDeadline;
   std::optional<std::uint32_t> Slot;
-  bool WithinShare = false; //!< Of the owner of the key.
-  bool Bounded = false;     //!< The leader bounds what the owner gets.
+  bool ArrivalRecorded = false; //!< Of a request without a key.
+  bool WithinShare = false;     //!< Of the owner of the key.
+  bool Bounded = false;         //!< The leader bounds what the owner gets.
   std::string Queue;
   std::optional<wait_queues::position> Position;
 };
