Roll-outs: the order, its stage and its share in the replicated state; the decision

Nothing knew an order to move a service to another version.

Not yet connected: counts of the hosts, the leader, the operators' calls.

--- a/src/pomeloswitch/control/decision_events.cpp
+++ b/src/pomeloswitch/control/decision_events.cpp
@@ -76,6 +76,13 @@
           {"out", Drain.out()}};
 }
 
+json::object advanceFields(const wire::advance_rollout &Change) {
+  return {{"service", Change.service()},
+          {"stage", toString(static_cast<rollout_stage>(Change.stage()))},
+          {"share", Change.share_permille() / double{WholeShare}},
+          {"reason", Change.reason()}};
+}
+
 decision_event makeOperatorEvent(std::string Name, json::object Fields,
                                  const apply_result &Result) {
   if (Result.Refusal)
@@ -109,6 +116,16 @@
   case command::kSetDrain:
     return makeOperatorEvent("drain_changed", drainFields(Command.set_drain()),
                              Result);
+  case command::kStartRollout:
+    return makeOperatorEvent(
+        "rollout_started",
+        {{"service", Command.start_rollout().service()},
+         {"version", Command.start_rollout().version()},
+         {"duration_ms", Command.start_rollout().duration_ms()}},
+        Result);
+  case command::kAdvanceRollout:
+    return decision_event{"rollout_advanced",
+                          advanceFields(Command.advance_rollout())};
   default:
     return std::nullopt;
   }
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -35,7 +35,9 @@
   auto Target = std::make_shared<routing_target>();
   Target->Member = Member;
   Target->Address = *Address;
-  Target->AcceptsNewWork = !Member.Leaving && !State.drainedByOperators(Member);
+  Target->AcceptsNewWork = !Member.Leaving &&
+                           !State.drainedByOperators(Member) &&
+                           State.allowedByRollout(Member);
   const auto Hosts = std::max<std::size_t>(1, State.entryHosts().size());
   const auto TotalThreads = Hosts * std::max<std::size_t>(1, Threads);
   const service *Service = State.sharedInventory()->findService(Member.Service);
--- a/src/pomeloswitch/state/cluster_state.cpp
+++ b/src/pomeloswitch/state/cluster_state.cpp
@@ -34,6 +34,8 @@
     return applyConfig(Command);
   applyMembership(Command);
   applyOwnership(Command);
+  if (Command.has_advance_rollout())
+    Rollouts.advance(Command.advance_rollout(), Index);
   applyCrash(Command);
   return applyClaim(Command);
 }
@@ -366,6 +368,11 @@
                    Known->KeySpace);
 }
 
+bool cluster_state::allowedByRollout(const target_member &Target) const {
+  const rollout *Rollout = Rollouts.find(Target.Service);
+  return !Rollout || Rollout->allows(Target.Version);
+}
+
 bool cluster_state::drainedByOperators(const target_member &Target) const {
   return DrainedDomains.contains(Target.FailureDomain) ||
          DrainedTargets.contains(Target.TargetId);
--- a/src/pomeloswitch/state/cluster_state.hpp
+++ b/src/pomeloswitch/state/cluster_state.hpp
@@ -12,6 +12,7 @@
 #include "pomeloswitch/settings/rules.hpp"
 #include "pomeloswitch/state/claim_table.hpp"
 #include "pomeloswitch/state/crash_table.hpp"
+#include "pomeloswitch/state/rollout_table.hpp"
 #include "pomeloswitch/state/slot_table.hpp"
 
 #include <cstdint>
@@ -81,7 +82,8 @@
   std::uint64_t StartedMs = 0;
   //! Whether the leader calls the target to tell it which slots it owns.
   bool OrderedByCall = false;
-  bool Cold = false; //!< Takes only a low request rate for now.
+  bool Cold = false;        //!< Takes only a low request rate for now.
+  std::string Version = {}; //!< Of its software; empty if unknown.
 };
 
 using key_map = std::map<std::string, account_key, std::less<>>;
@@ -146,6 +148,8 @@
     return Crashes;
   }
 
+  [[nodiscard]] const rollout_table &rollouts() const { return Rollouts; }
+
   [[nodiscard]] const std::string &inventoryJson() const {
     return InventoryJson;
   }
@@ -176,6 +180,8 @@
   //! started earlier.
   [[nodiscard]] bool mayJoin(const target_member &Announced) const;
 
+  //! Whether a roll-out of its service lets the target get requests.
+  [[nodiscard]] bool allowedByRollout(const target_member &Target) const;
   //! Whether operators have drained the target or its failure domain.
   [[nodiscard]] bool drainedByOperators(const target_member &Target) const;
 
@@ -233,6 +239,7 @@
   std::map<std::string, apply_result> Operations;
   std::deque<std::string> OperationOrder;
   claim_table Claims;
+  rollout_table Rollouts;
   std::shared_ptr<const crash_table> Crashes;
 };
 
--- a/src/pomeloswitch/state/cluster_state_snapshot.cpp
+++ b/src/pomeloswitch/state/cluster_state_snapshot.cpp
@@ -75,6 +75,7 @@
   }
   Claims.writeTo(Snapshot);
   Crashes->writeTo(Snapshot);
+  Rollouts.writeTo(Snapshot);
   return Snapshot;
 }
 
@@ -142,6 +143,7 @@
     State.rememberOperation(Record.operation_id(), Result);
   }
   State.Claims = claim_table::readFrom(Snapshot);
+  State.Rollouts = rollout_table::readFrom(Snapshot);
   State.Crashes =
       std::make_shared<crash_table>(crash_table::readFrom(Snapshot));
   return State;
--- a/src/pomeloswitch/state/command_urgency.cpp
+++ b/src/pomeloswitch/state/command_urgency.cpp
@@ -7,6 +7,7 @@
 namespace pomelo {
 namespace {
 
+//! Or a decision that carries one of them out.
 bool isOperatorsChange(const wire::command &Command) {
   switch (Command.body_case()) {
   case wire::command::kSetInventory:
@@ -15,6 +16,8 @@
   case wire::command::kWithdrawKey:
   case wire::command::kSetDrain:
   case wire::command::kReplaceConfiguration:
+  case wire::command::kStartRollout:
+  case wire::command::kAdvanceRollout:
     return true;
   default:
     return false;
--- a/src/pomeloswitch/state/config_changes.cpp
+++ b/src/pomeloswitch/state/config_changes.cpp
@@ -102,6 +102,7 @@
   case command::kWithdrawKey:
   case command::kSetDrain:
   case command::kReplaceConfiguration:
+  case command::kStartRollout:
     return true;
   default:
     return false;
@@ -123,6 +124,8 @@
   case command::kReplaceConfiguration:
     return replaceConfiguration(
         unpackConfiguration(Command.replace_configuration()));
+  case command::kStartRollout:
+    return startRollout(Command.start_rollout());
   default:
     refuse(error_kind::Internal, "not a configuration change");
   }
@@ -140,6 +143,7 @@
   refuseUnsafeServiceChanges(State, *Parsed);
   State.Inventory = std::move(Parsed);
   State.InventoryJson = Change.json();
+  endRolloutsOfRemovedServices();
   State.reconcileSlotTables();
 }
 
@@ -172,9 +176,26 @@
   State.Rules = std::move(Rules);
   State.RulesJson = Change.rules_json();
   State.Keys = std::move(Keys);
+  endRolloutsOfRemovedServices();
   State.reconcileSlotTables();
 }
 
+void config_changes::startRollout(const wire::start_rollout &Order) {
+  if (!State.Inventory->findService(Order.service()))
+    refuse(error_kind::NotFound,
+           fmt::format("rollout: the inventory has no service \"{}\"",
+                       Order.service()));
+  State.Rollouts.start(Order, State.Index, State.TimeMs);
+}
+
+void config_changes::endRolloutsOfRemovedServices() {
+  State.Rollouts.endWithout(
+      [this](const std::string &Service) {
+        return State.Inventory->findService(Service) != nullptr;
+      },
+      State.Index);
+}
+
 void config_changes::issueKey(const wire::issue_key &Change) {
   if (!State.Inventory->findAccount(Change.account()))
     refuse(error_kind::NotFound,
--- a/src/pomeloswitch/state/config_changes.hpp
+++ b/src/pomeloswitch/state/config_changes.hpp
@@ -9,6 +9,7 @@
 class replace_configuration;
 class set_document;
 class set_drain;
+class start_rollout;
 class withdraw_key;
 } // namespace pomelo::wire
 
@@ -34,6 +35,8 @@
   void withdrawKey(const wire::withdraw_key &Change);
   void setDrain(const wire::set_drain &Change);
   void replaceConfiguration(const wire::replace_configuration &Change);
+  void startRollout(const wire::start_rollout &Order);
+  void endRolloutsOfRemovedServices();
 
   cluster_state &State;
 };
--- a/src/pomeloswitch/state/target_codec.cpp
+++ b/src/pomeloswitch/state/target_codec.cpp
@@ -21,6 +21,7 @@
   Member.StartedMs = Joined.started_unix_ms();
   Member.OrderedByCall = Joined.ordered_by_call();
   Member.Cold = Joined.cold();
+  Member.Version = Joined.version();
   return Member;
 }
 
@@ -37,6 +38,7 @@
   Joined.set_started_unix_ms(Member.StartedMs);
   Joined.set_ordered_by_call(Member.OrderedByCall);
   Joined.set_cold(Member.Cold);
+  Joined.set_version(Member.Version);
   return Joined;
 }
 
