Roll-outs: entry hosts count and divide, the leader decides, keys follow, operators order

Cause: the order and the decision were not connected to anything.

Change: entry hosts divide the requests of a service under a roll-out by the share in force and report in heartbeats what came of them; rollout_coordinator at the leader sums the reports, asks the judge and proposes its decisions; it completes a roll-out once every host in touch has followed, the longest deadline has passed since, and no slot is with another version. The planner gives the new version its share of the slots. All this is off unless the settings have "rollouts"; then alone the versions of targets are recorded.

Not yet with real targets of two versions.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t MaxRetainedResults = 4096;
 //! From one estimate of the overloaded owners to the next.
 constexpr milliseconds OverloadInterval{200};
+//! From one decision on the roll-outs to the next.
+constexpr milliseconds RolloutInterval{100};
 constexpr milliseconds ActivityLogInterval{5000};
 
 //! In the order of control_activity.
@@ -106,8 +108,8 @@
     : Io(Io), Settings(std::move(GivenSettings)), Activity(ActivityNames),
       Log(std::move(GivenLog)), Leases(leaseTimesOf(Settings)),
       Rates(Leases.times()), Planner(planner_limits()),
-      Orders(targetOrderTimes(Settings)), Feed(State, *Log),
-      Caller(std::move(GivenCaller)), Ticker(Io) {
+      Rollouts(Settings.Exposure), Orders(targetOrderTimes(Settings)),
+      Feed(State, *Log), Caller(std::move(GivenCaller)), Ticker(Io) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -166,6 +168,7 @@
       Orders.startTerm(State, steady_clock::now());
       ++OrderTerm;
       Loads.clear();
+      Rollouts.startTerm();
       OverloadedOwners.clear();
       Rates.startTerm(randomTerm(), steady_clock::now());
     }
@@ -334,6 +337,7 @@
     return;
   sendTargetOrders(Now);
   updateOverloadedOwners(Now);
+  advanceRollouts(Now);
   if (planDue(Now))
     planAndPropose(Now);
 }
@@ -345,6 +349,15 @@
   OverloadedOwners = findOverloadedOwners(State, Loads, Now);
 }
 
+void control_host::advanceRollouts(mono_time Now) {
+  if (State.rollouts().empty() || Now - RolloutsAt < RolloutInterval)
+    return;
+  RolloutsAt = Now;
+  for (wire::command &Command : Rollouts.step(State, Leases, Now))
+    proposeChange(std::move(Command),
+                  [](const apply_result &, std::uint64_t) {});
+}
+
 //! Plans are computed from the applied state, so a new one is made only after
 //! the previous one has been applied.
 bool control_host::planDue(mono_time Now) const {
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -16,6 +16,7 @@
 #include "pomeloswitch/ownership/slot_planner.hpp"
 #include "pomeloswitch/ownership/target_caller.hpp"
 #include "pomeloswitch/raft/replicated_log.hpp"
+#include "pomeloswitch/rollout/rollout_coordinator.hpp"
 #include "pomeloswitch/settings/control_settings.hpp"
 #include "pomeloswitch/state/cluster_state.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
@@ -119,6 +120,7 @@
   void tick();
   void lead(mono_time Now);
   void updateOverloadedOwners(mono_time Now);
+  void advanceRollouts(mono_time Now);
   [[nodiscard]] bool planDue(mono_time Now) const;
   void planAndPropose(mono_time Now);
   void sendTargetOrders(mono_time Now);
@@ -138,6 +140,8 @@
   rate_ledger Rates;
   load_table Loads;
   slot_planner Planner;
+  rollout_coordinator Rollouts;
+  mono_time RolloutsAt{}; //!< When they were last advanced.
   order_scheduler Orders;
   state_feed Feed;
   std::unique_ptr<target_caller> Caller; //!< Null if targets are not called.
--- a/src/pomeloswitch/control/control_host_heartbeats.cpp
+++ b/src/pomeloswitch/control/control_host_heartbeats.cpp
@@ -61,6 +61,7 @@
       Member->second.Incarnation != Heartbeat.incarnation())
     return;
   Loads.recordHeartbeat(Heartbeat, Now);
+  Rollouts.recordHeartbeat(Heartbeat);
   Ack->set_commit_index(Log->commitIndex());
   Ack->set_lease_ms(
       static_cast<std::uint32_t>(Leases.times().HostLease.count()));
--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/entry/entry_host.hpp"
 
 #include "pomeloswitch/admission/quota_codec.hpp"
+#include "pomeloswitch/rollout/outcome_codec.hpp"
 #include "pomeloswitch/routing/routing_view.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -154,6 +155,7 @@
   };
   Callbacks.AddLoads = [this](wire::heartbeat &Heartbeat) {
     addLoads(Heartbeat);
+    addOutcomes(Heartbeat);
   };
   Callbacks.OnQuota = [this](const wire::heartbeat_ack &Ack, lease_time Until) {
     if (Quota.apply(Ack.sequence(), decode(Ack.quota()), toSteady(Until),
@@ -298,6 +300,16 @@
   }
 }
 
+//! Adds the counts of the roll-outs under way, of all threads together.
+void entry_host::addOutcomes(wire::heartbeat &Heartbeat) const {
+  outcomes_by_service Sums;
+  for (const auto &Thread : Threads)
+    if (const auto Latest = Thread->outcomes())
+      for (const auto &[Service, Outcomes] : *Latest)
+        Sums[Service] += Outcomes;
+  encode(Sums, Heartbeat);
+}
+
 void entry_host::flushSpans() {
   Spans.flush();
   SpanTimer.expires_after(SpanInterval);
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -53,6 +53,7 @@
   [[nodiscard]] adopted_state oldestAdoptedState() const;
   boost::asio::awaitable<std::string> metrics();
   void addLoads(wire::heartbeat &Heartbeat);
+  void addOutcomes(wire::heartbeat &Heartbeat) const;
   void flushSpans();
   void onThreadIdle();
   void awaitPendingRecords();
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -11,6 +11,8 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
 constexpr auto LoadsInterval = std::chrono::milliseconds(1000);
+//! Of the counts of roll-outs; as often as heartbeats are sent.
+constexpr auto OutcomesInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -54,12 +56,26 @@
     Context.Sending.Statistics.retain(*View);
     Context.Sending.Notices.retain(*View, std::chrono::steady_clock::now());
     Context.Sending.WaitQueues.removeEmptyQueues();
+    dropEndedRollouts();
     reportRestarts();
     updateQuiescedIndex();
     Adopted.store(View, std::memory_order_release);
   });
 }
 
+void traffic_thread::dropEndedRollouts() {
+  if (Context.Rollouts.outcomes().empty())
+    return;
+  Context.Rollouts.retain(
+      [this](std::string_view Name, std::uint64_t StartedIndex) {
+        const routing_service *Service = Context.View->findService(Name);
+        return Service && Service->Split &&
+               Service->Split->StartedIndex == StartedIndex;
+      });
+  if (Context.Rollouts.outcomes().empty())
+    Outcomes.store(nullptr, std::memory_order_release);
+}
+
 void traffic_thread::extendAuthority(lease_time Until) {
   boost::asio::post(Io, [this, Until] { RoutingLease.extendTo(Until); });
 }
@@ -136,6 +152,15 @@
               std::memory_order_release);
 }
 
+void traffic_thread::publishOutcomes(steady_time Now) {
+  if (Context.Rollouts.outcomes().empty() || Now < NextOutcomesAt)
+    return;
+  NextOutcomesAt = Now + OutcomesInterval;
+  Outcomes.store(
+      std::make_shared<const outcomes_by_service>(Context.Rollouts.outcomes()),
+      std::memory_order_release);
+}
+
 void traffic_thread::tick() {
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](boost::system::error_code Error) {
@@ -143,6 +168,7 @@
       return;
     updateQuiescedIndex();
     publishLoads(std::chrono::steady_clock::now());
+    publishOutcomes(std::chrono::steady_clock::now());
     tick();
   });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -93,6 +93,12 @@
     return Loads.load(std::memory_order_acquire);
   }
 
+  //! Any thread: returns the latest counts of the roll-outs under way, or null
+  //! if there are none.
+  [[nodiscard]] std::shared_ptr<const outcomes_by_service> outcomes() const {
+    return Outcomes.load(std::memory_order_acquire);
+  }
+
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const {
     return Server.address();
   }
@@ -104,6 +110,8 @@
   void reportRestarts();
   void tick();
   void publishLoads(steady_time Now);
+  void publishOutcomes(steady_time Now);
+  void dropEndedRollouts();
   void awaitIdle(std::function<void()> OnIdle);
 
   boost::asio::io_context Io{1};
@@ -116,6 +124,8 @@
   std::atomic<std::uint64_t> PublishedQuiescedIndex{0};
   std::atomic<std::shared_ptr<const load_report>> Loads;
   steady_time NextLoadsAt{};
+  std::atomic<std::shared_ptr<const outcomes_by_service>> Outcomes;
+  steady_time NextOutcomesAt{};
   std::atomic<std::shared_ptr<const routing_view>> Adopted{
       std::make_shared<const routing_view>()};
   std::thread Thread;
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -132,6 +132,27 @@
     Context.OnNotice(Owner.Target, Dispatch.notice());
 }
 
+//! Counts the request for the roll-out of its service, if one is under way.
+//! Responses of cold targets say nothing about their version.
+void exchange::recordForRollout(const routing_target &Target, send_outcome End,
+                                std::chrono::nanoseconds Latency) {
+  const routing_service *Service = Context.View->findService(Plan.Service);
+  if (!Service || !Service->Split)
+    return;
+  counted_attempt Attempt;
+  Attempt.Route = Plan.Route.Name;
+  Attempt.TargetId = Target.Member.TargetId;
+  Attempt.NewVersion = Target.Member.Version == Service->Split->Version;
+  const bool Cold = Target.Member.Cold || Context.Sending.Statistics.mayBeCold(
+                                              Target, steady_clock::now());
+  Attempt.Failed =
+      !Cold && (End == send_outcome::Failed || End == send_outcome::Lost ||
+                End == send_outcome::Silent);
+  if (!Cold && End == send_outcome::Answered)
+    Attempt.Latency = Latency;
+  Context.Rollouts.record(Plan.Service, Service->Split->StartedIndex, Attempt);
+}
+
 void exchange::recordAttempt(const slot_owner &Owner,
                              const target_dispatch &Dispatch,
                              steady_clock::time_point SentAt) {
@@ -147,6 +168,8 @@
                                            Now);
   if (End == send_outcome::Answered || End == send_outcome::Shed)
     Context.ConnectionLosses.answered(Owner.Target->Member, SentAt);
+  if (LastProgress != attempt_progress::NothingSent)
+    recordForRollout(*Owner.Target, End, Now - SentAt);
   boost::json::object Entry{{"target", Owner.Target->Member.TargetId},
                             {"sent_ms", millisecondsOf(SentAt - StartedAt)},
                             {"took_ms", millisecondsOf(Now - SentAt)},
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -13,6 +13,7 @@
 #include "pomeloswitch/retry/crash_detector.hpp"
 #include "pomeloswitch/retry/request_state_client.hpp"
 #include "pomeloswitch/retry/retry_budget.hpp"
+#include "pomeloswitch/rollout/rollout_meter.hpp"
 #include "pomeloswitch/sending/send_state.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -79,6 +80,7 @@
   in_flight_table InFlightRequests;
   send_state Sending;
   retry_budget Retries;
+  rollout_meter Rollouts;
   metric_set Metrics;
   span_sink *Spans = nullptr; //!< Null if tracing is disabled.
   crash_detector ConnectionLosses;
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/ownership/slot_planner.hpp"
 
+#include "pomeloswitch/state/rollout_targets.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <algorithm>
@@ -15,13 +16,18 @@
 //! them.
 constexpr double SlowestFactor = 0.4;
 constexpr double FastestFactor = 2.5;
+//! Capacity of a target that a roll-out gives no more slots.
+constexpr double NegligibleCapacity = 1e-9;
+//! Part of a service's slots that may move at a time for a roll-out.
+constexpr std::size_t RolloutMovesDivisor = 8;
 
 //! A target that may own slots, and the weight of the slots that it owns.
 struct candidate {
   const target_member *Target;
-  bool MayReceive = true; //!< Whether it may be granted more slots.
-  double Capacity = 1;    //!< Relative request throughput.
-  double OwnedWeight = 0; //!< Total weight of its slots.
+  bool MayReceive = true;  //!< Whether it may be granted more slots.
+  double Capacity = 1;     //!< Relative request throughput.
+  double OwnedWeight = 0;  //!< Total weight of its slots.
+  bool NewVersion = false; //!< Of a roll-out under way.
 };
 
 //! Computes the plan of one service; used for a single run() call.
@@ -31,7 +37,11 @@
                const load_table &Loads, const planner_limits &Limits,
                const service &Service, mono_time Now)
       : State(State), Leases(Leases), Loads(Loads), Limits(Limits),
-        Service(Service), Now(Now), Table(State.sharedSlots(Service.Name)) {}
+        Service(Service), Now(Now), Table(State.sharedSlots(Service.Name)) {
+    const rollout *Latest = State.rollouts().find(Service.Name);
+    if (Latest && !Latest->ended())
+      Rollout = Latest;
+  }
 
   void run(std::vector<wire::command> &Commands) {
     if (!Table)
@@ -41,6 +51,7 @@
     collectCandidates();
     sumOwnedWeights();
     planGrantsAndRevocations();
+    planRolloutMoves();
     planBalance();
     emit(Commands);
   }
@@ -49,7 +60,8 @@
   void collectCandidates() {
     for (const auto &[Id, Target] : State.targets())
       if (Target.Service == Service.Name && !Target.Leaving &&
-          !State.drainedByOperators(Target) && Leases.mayKeepSlots(Target, Now))
+          !State.drainedByOperators(Target) && mayKeepInRollout(Target) &&
+          Leases.mayKeepSlots(Target, Now))
         Candidates.push_back({&Target, Leases.mayReceiveSlots(Target, Now),
                               static_cast<double>(Target.Slots)});
     // A cold target cannot handle its full share of requests, so it receives
@@ -61,10 +73,48 @@
       for (candidate &Each : Candidates)
         Each.MayReceive = Warm(Each);
     scaleCapacities();
+    divideByRollout();
     for (const candidate &Each : Candidates)
       ReceivingCapacity += Each.MayReceive ? Each.Capacity : 0;
   }
 
+  //! At the end of a roll-out the slots of the old versions move a few at a
+  //! time, like before.
+  bool mayKeepInRollout(const target_member &Target) const {
+    return Rollout || State.allowedByRollout(Target);
+  }
+
+  //! Scales capacities so that the new version gets its share of the weight.
+  void divideByRollout() {
+    if (!Rollout)
+      return;
+    const name_set HeldBack = heldBackTargets(State);
+    double Old = 0;
+    double New = 0;
+    for (candidate &Each : Candidates) {
+      Each.NewVersion = Each.Target->Version == Rollout->Version;
+      if (HeldBack.contains(Each.Target->TargetId))
+        retire(Each);
+      (Each.NewVersion ? New : Old) += Each.Capacity;
+    }
+    const double Share = rolloutShare();
+    for (candidate &Each : Candidates) {
+      if (Each.NewVersion && Share < 1 && New > 0)
+        Each.Capacity *= Share / (1 - Share) * Old / New;
+      else if (!Each.NewVersion && Share >= 1)
+        retire(Each);
+    }
+  }
+
+  static void retire(candidate &Each) {
+    Each.MayReceive = false;
+    Each.Capacity = NegligibleCapacity;
+  }
+
+  double rolloutShare() const {
+    return Rollout->SharePermille / double{WholeShare};
+  }
+
   //! Scales capacities by the measured speeds of the targets. A target whose
   //! speed is not known is treated as having average speed.
   void scaleCapacities() {
@@ -100,9 +150,10 @@
   void sumOwnedWeights() {
     for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const slot_ownership &Slot = (*Table)[Number];
-      if (Slot.Phase == slot_phase::Revoking)
+      if (Slot.Phase == slot_phase::Revoking) {
         ++SlotsRevoking;
-      else if (Slot.Phase != slot_phase::Unowned)
+        RevokingWeight += Weights[Number];
+      } else if (Slot.Phase != slot_phase::Unowned)
         if (candidate *Owner = findCandidate(Slot.Owner))
           Owner->OwnedWeight += Weights[Number];
     }
@@ -192,6 +243,34 @@
     }
   }
 
+  //! Moves slots of the old versions until the new one has its share, counting
+  //! those that are under way.
+  void planRolloutMoves() {
+    if (!Rollout || Grants.grants_size() > 0 || Revokes.slots_size() > 0)
+      return;
+    double Missing = rolloutShare() * TotalWeight - RevokingWeight;
+    for (const candidate &Each : Candidates)
+      Missing -= Each.NewVersion ? Each.OwnedWeight : 0;
+    const std::size_t MaxMoves =
+        std::max<std::size_t>(1, Table->size() / RolloutMovesDivisor);
+    for (std::size_t Moves = SlotsRevoking; Moves < MaxMoves && Missing > 0;
+         ++Moves) {
+      candidate *From = nullptr;
+      for (candidate &Each : Candidates)
+        if (!Each.NewVersion && (!From || moreLoaded(Each, *From)))
+          From = &Each;
+      // Rounding must not hold the last slot back.
+      const double Largest = rolloutShare() < 1 ? Missing : TotalWeight;
+      const auto Moved = From ? heaviestSlot(*From, Largest) : std::nullopt;
+      if (!Moved)
+        return;
+      From->OwnedWeight -= Weights[*Moved];
+      Missing -= Weights[*Moved];
+      MovedSlots.insert(*Moved);
+      Revokes.add_slots(*Moved);
+    }
+  }
+
   //! Moves slots from the most loaded owner to the least loaded receiver while
   //! the former exceeds its share by the tolerance or more, or the latter is
   //! nearly idle, within the limits on moves in flight. Plans no moves in a
@@ -318,6 +397,8 @@
   //! Slots that this plan moves to another owner.
   std::set<std::uint32_t> MovedSlots;
   std::uint32_t SlotsRevoking = 0; //!< Number of slots being revoked.
+  double RevokingWeight = 0;
+  const rollout *Rollout = nullptr; //!< Under way; null if there is none.
   wire::grant_slots Grants;
   wire::revoke_slots Revokes;
 };
--- a/src/pomeloswitch/rollout/attempt_counts.cpp
+++ b/src/pomeloswitch/rollout/attempt_counts.cpp
@@ -5,7 +5,7 @@
 
 namespace pomelo {
 
-void latency_histogram::record(std::chrono::nanoseconds Latency) {
+void latency_counts::record(std::chrono::nanoseconds Latency) {
   std::size_t Bucket = 0;
   std::chrono::duration<double> Bound = FirstBound;
   while (Bucket + 1 < Buckets && Latency > Bound) {
@@ -15,22 +15,22 @@
   ++Counts[Bucket];
 }
 
-void latency_histogram::add(std::size_t Bucket, std::uint32_t Count) {
+void latency_counts::add(std::size_t Bucket, std::uint32_t Count) {
   if (Bucket < Buckets)
     Counts[Bucket] += Count;
 }
 
-std::uint64_t latency_histogram::total() const {
+std::uint64_t latency_counts::total() const {
   return std::accumulate(Counts.begin(), Counts.end(), std::uint64_t{0});
 }
 
-std::uint64_t latency_histogram::countAbove(std::size_t Bucket) const {
+std::uint64_t latency_counts::countAbove(std::size_t Bucket) const {
   const std::size_t First = std::min(Bucket + 1, Buckets);
   return std::accumulate(Counts.begin() + static_cast<std::ptrdiff_t>(First),
                          Counts.end(), std::uint64_t{0});
 }
 
-std::size_t latency_histogram::medianBucket() const {
+std::size_t latency_counts::medianBucket() const {
   const std::uint64_t Half = total() / 2;
   std::uint64_t Passed = 0;
   for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket) {
@@ -41,15 +41,13 @@
   return 0;
 }
 
-latency_histogram &
-latency_histogram::operator+=(const latency_histogram &Other) {
+latency_counts &latency_counts::operator+=(const latency_counts &Other) {
   for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
     Counts[Bucket] += Other.Counts[Bucket];
   return *this;
 }
 
-latency_histogram &
-latency_histogram::operator-=(const latency_histogram &Earlier) {
+latency_counts &latency_counts::operator-=(const latency_counts &Earlier) {
   for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
     Counts[Bucket] -= std::min(Counts[Bucket], Earlier.Counts[Bucket]);
   return *this;
--- a/src/pomeloswitch/rollout/attempt_counts.hpp
+++ b/src/pomeloswitch/rollout/attempt_counts.hpp
@@ -11,7 +11,7 @@
 namespace pomelo {
 
 //! Counts latencies in buckets whose bounds grow by BoundFactor.
-class latency_histogram {
+class latency_counts {
 public:
   static constexpr std::size_t Buckets = 24;
   static constexpr std::chrono::milliseconds FirstBound{4};
@@ -30,9 +30,9 @@
     return Counts;
   }
 
-  latency_histogram &operator+=(const latency_histogram &Other);
+  latency_counts &operator+=(const latency_counts &Other);
   //! A bucket of \p Earlier that is larger counts as equal.
-  latency_histogram &operator-=(const latency_histogram &Earlier);
+  latency_counts &operator-=(const latency_counts &Earlier);
 
 private:
   std::array<std::uint32_t, Buckets> Counts{};
@@ -42,7 +42,7 @@
 //! them are not counted.
 struct attempt_counts {
   std::uint64_t Failures = 0; //!< Errors, invalid and missing responses.
-  latency_histogram Answers;  //!< Latencies of the others.
+  latency_counts Answers;     //!< Latencies of the others.
 
   [[nodiscard]] std::uint64_t total() const {
     return Failures + Answers.total();
--- a/src/pomeloswitch/rollout/rollout_judge.hpp
+++ b/src/pomeloswitch/rollout/rollout_judge.hpp
@@ -10,6 +10,7 @@
 #define POMELOSWITCH_ROLLOUT_ROLLOUT_JUDGE_HPP
 
 #include "pomeloswitch/rollout/version_comparison.hpp"
+#include "pomeloswitch/settings/control_settings.hpp"
 #include "pomeloswitch/state/rollout_table.hpp"
 
 #include <chrono>
@@ -19,12 +20,6 @@
 
 namespace pomelo {
 
-//! The deployment's bounds on what a bad version may get.
-struct exposure_bounds {
-  double Share = 0.1; //!< Of the requests between the order and its time limit.
-  double Slack = 50;  //!< Requests beyond that.
-};
-
 //! The order, and what the service needs.
 struct rollout_terms {
   std::chrono::milliseconds Duration{0};
--- a/src/pomeloswitch/rollout/version_comparison.cpp
+++ b/src/pomeloswitch/rollout/version_comparison.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 //! Bucket after which a response is slow, by the median of \p Answers.
-std::size_t slowBucket(const latency_histogram &Answers, double SlowFactor) {
+std::size_t slowBucket(const latency_counts &Answers, double SlowFactor) {
   const double Buckets =
-      std::log(SlowFactor) / std::log(latency_histogram::BoundFactor);
+      std::log(SlowFactor) / std::log(latency_counts::BoundFactor);
   return Answers.medianBucket() + static_cast<std::size_t>(std::ceil(Buckets));
 }
 
--- a/src/pomeloswitch/routing/routing_view.cpp
+++ b/src/pomeloswitch/routing/routing_view.cpp
@@ -3,6 +3,7 @@
 #include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/routing/target_ring.hpp"
+#include "pomeloswitch/state/rollout_targets.hpp"
 #include "pomeloswitch/state/target_codec.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 
@@ -27,7 +28,7 @@
 
 //! Returns null if the target cannot be called.
 routing_target_ptr makeTarget(const cluster_state &State,
-                              const target_member &Member,
+                              const target_member &Member, bool HeldBack,
                               std::size_t Threads) {
   const auto Address = usableAddress(Member);
   if (!Address)
@@ -37,7 +38,7 @@
   Target->Address = *Address;
   Target->AcceptsNewWork = !Member.Leaving &&
                            !State.drainedByOperators(Member) &&
-                           State.allowedByRollout(Member);
+                           State.allowedByRollout(Member) && !HeldBack;
   const auto Hosts = std::max<std::size_t>(1, State.entryHosts().size());
   const auto TotalThreads = Hosts * std::max<std::size_t>(1, Threads);
   const service *Service = State.sharedInventory()->findService(Member.Service);
@@ -49,6 +50,15 @@
   return Target;
 }
 
+void addSplits(const cluster_state &State, routing_view &View) {
+  for (const auto &[Name, Rollout] : State.rollouts()) {
+    const auto Service = View.Services.find(Name);
+    if (Service != View.Services.end() && !Rollout.ended())
+      Service->second.Split = {Rollout.StartedIndex, Rollout.Version,
+                               Rollout.SharePermille / double{WholeShare}};
+  }
+}
+
 } // namespace
 
 const routing_service *routing_view::findService(std::string_view Name) const {
@@ -84,8 +94,10 @@
     View->Services[Service.Name] = {
         Service.Name, State.sharedSlots(Service.Name), {}, Service.KeySpace,
         Service.Key,  Service.ColdRatePerSecond};
+  addSplits(State, *View);
+  const name_set HeldBack = heldBackTargets(State);
   for (const auto &[Id, Member] : State.targets()) {
-    auto Target = makeTarget(State, Member, Threads);
+    auto Target = makeTarget(State, Member, HeldBack.contains(Id), Threads);
     if (!Target)
       continue;
     const auto Service = View->Services.find(Member.Service);
--- a/src/pomeloswitch/routing/routing_view.hpp
+++ b/src/pomeloswitch/routing/routing_view.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,13 @@
 
 using routing_target_ptr = std::shared_ptr<const routing_target>;
 
+//! How a roll-out under way divides the requests of a service.
+struct version_split {
+  std::uint64_t StartedIndex = 0; //!< Identifies the roll-out.
+  std::string Version;            //!< The new one.
+  double Share = 0;               //!< Of the requests, to it; 0 to 1.
+};
+
 struct routing_service {
   std::string Name;
   std::shared_ptr<const slot_table> Slots; //!< Null if not keyed.
@@ -33,6 +41,7 @@
   double ColdRatePerSecond = 0; //!< From the inventory.
   //! The targets of a service that is not keyed, see makeTargetRing().
   std::vector<routing_target_ptr> Ring = {};
+  std::optional<version_split> Split = {};
 };
 
 struct routing_view {
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -140,16 +140,44 @@
   const routing_service *Service = View.findService(Request.Service);
   if (!Service)
     return nullptr;
+  drawVersion(*Service, Authoritative);
   auto Target =
       Authoritative
           ? chooseAmong(View, *Service, Now)
           : chooseAmong(View, restrictToDomain(*Service, State.FailureDomain),
                         Now);
+  // A share that the new version can't take goes to the old ones, not the other
+  // way round.
+  if (!Target && std::exchange(ToNewVersion, false))
+    Target = chooseAmong(View, *Service, Now);
   if (Target)
     admitIfCold(View, *Service, *Target, true, Now);
   return Target;
 }
 
+//! Decides once for each roll-out which version the request goes to. A host
+//! without a lease may have missed that the share fell.
+void target_selection::drawVersion(const routing_service &Service,
+                                   bool Authoritative) {
+  const std::uint64_t Index = Service.Split ? Service.Split->StartedIndex : 0;
+  const bool Known = std::exchange(SplitIndex, Index) == Index;
+  if (!Service.Split || !Authoritative || Service.Split->Share <= 0) {
+    ToNewVersion = false;
+    return;
+  }
+  if (Service.Split->Share >= 1)
+    ToNewVersion = true;
+  else if (!Known)
+    ToNewVersion = std::uniform_real_distribution<>(0, 1)(State.Random) <
+                   Service.Split->Share;
+}
+
+bool target_selection::ofDrawnVersion(const routing_service &Service,
+                                      const routing_target &Target) const {
+  return !Service.Split ||
+         (Target.Member.Version == Service.Split->Version) == ToNewVersion;
+}
+
 routing_target_ptr target_selection::chooseAmong(const routing_view &View,
                                                  const routing_service &Service,
                                                  time_point Now) {
@@ -179,15 +207,17 @@
 
 target_predicates target_selection::makePredicates(
     const routing_view &View, const routing_service &Service, time_point Now) {
-  return {[this, Now](const routing_target &Target) {
-            return State.Notices.of(Target).wantsRequests(Now) &&
+  return {[this, &Service, Now](const routing_target &Target) {
+            return ofDrawnVersion(Service, Target) &&
+                   State.Notices.of(Target).wantsRequests(Now) &&
                    State.Statistics.usable(Target, Now);
           },
           [this, Now](const routing_target &Target) {
             return !isCold(Target, Now);
           },
           [this, &View, &Service, Now](const routing_target &Target) {
-            return canTakeRequest(Target, Now) &&
+            return ofDrawnVersion(Service, Target) &&
+                   canTakeRequest(Target, Now) &&
                    admitIfCold(View, Service, Target, false, Now);
           }};
 }
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -75,6 +75,9 @@
   [[nodiscard]] bool isCold(const routing_target &Target, time_point Now) const;
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
+  void drawVersion(const routing_service &Service, bool Authoritative);
+  [[nodiscard]] bool ofDrawnVersion(const routing_service &Service,
+                                    const routing_target &Target) const;
   void enqueue(const std::string &QueueName);
   void refuseIfUnwanted(const routing_view &View, time_point Now) const;
   void refuseBeyondShare(const routing_target &Owner, time_point Now);
@@ -87,8 +90,12 @@
   time_point WaitDeadline;
   std::optional<std::uint32_t> Slot;
   bool ArrivalRecorded = false; //!< Of a request without a key.
-  bool WithinShare = false;     //!< Of the owner of the key.
-  bool Bounded = false;         //!< The leader bounds what the owner gets.
+  //! Whether the request goes to the new version of the roll-out that began at
+  //! SplitIndex.
+  bool ToNewVersion = false;
+  std::uint64_t SplitIndex = 0;
+  bool WithinShare = false; //!< Of the owner of the key.
+  bool Bounded = false;     //!< The leader bounds what the owner gets.
   std::string Queue;
   std::optional<wait_queues::position> Position;
 };
--- a/src/pomeloswitch/settings/control_settings.cpp
+++ b/src/pomeloswitch/settings/control_settings.cpp
@@ -37,6 +37,14 @@
     "host_lease_ms": {{"type": "integer", "minimum": 100, "maximum": 60000}},
     "target_hold_ms": {{"type": "integer", "minimum": 500,
                         "maximum": 600000}},
+    "rollouts": {{
+      "type": "object", "additionalProperties": false,
+      "properties": {{
+        "exposure_share": {{"type": "number", "exclusiveMinimum": 0,
+                            "maximum": 1}},
+        "exposure_slack": {{"type": "number", "minimum": 0}}
+      }}
+    }},
     "adapter": {{"type": "object"}},
     "log": {{"$ref": "#/definitions/log"}}
   }}
@@ -55,6 +63,19 @@
   return Operators;
 }
 
+void readRollouts(const boost::json::object &Object,
+                  control_settings &Settings) {
+  const boost::json::value *Rollouts = Object.if_contains("rollouts");
+  Settings.RolloutsEnabled = Rollouts != nullptr;
+  if (!Rollouts)
+    return;
+  const auto &Fields = Rollouts->as_object();
+  Settings.Exposure.Share =
+      doubleField(Fields, "exposure_share", Settings.Exposure.Share);
+  Settings.Exposure.Slack =
+      doubleField(Fields, "exposure_slack", Settings.Exposure.Slack);
+}
+
 } // namespace
 
 control_settings parseControlSettings(std::string_view Text) {
@@ -78,6 +99,7 @@
       integerField(Object, "host_lease_ms", Settings.HostLeaseMs));
   Settings.TargetSlotLeaseMs = static_cast<std::uint32_t>(
       integerField(Object, "target_hold_ms", Settings.TargetSlotLeaseMs));
+  readRollouts(Object, Settings);
   Settings.Log = readLogSettings(Object);
   Settings.Adapter = jsonField(Object, "adapter");
   return Settings;
--- a/src/pomeloswitch/settings/control_settings.hpp
+++ b/src/pomeloswitch/settings/control_settings.hpp
@@ -16,6 +16,12 @@
   std::string KeySha256; //!< Lower-case hexadecimal hash of the credential.
 };
 
+//! Bounds on what a version that turns out to be bad may get.
+struct exposure_bounds {
+  double Share = 0.1; //!< Of the requests between the order and its time limit.
+  double Slack = 50;  //!< Requests beyond that.
+};
+
 struct control_settings {
   std::string HostId;
   std::string FailureDomain;
@@ -37,6 +43,10 @@
   //! How long a target that gets its slots by calls of the leader owns them
   //! after each call.
   std::uint32_t TargetSlotLeaseMs = 2000;
+  //! Whether services can be moved to other versions. Only then the versions
+  //! of the targets are recorded.
+  bool RolloutsEnabled = false;
+  exposure_bounds Exposure;
   log_settings Log;
   std::string Adapter; //!< The field "adapter" as JSON, or empty.
 };
