--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -118,6 +118,16 @@
   Record.BackoffUntil = std::max(Record.BackoffUntil, Now + Backoff);
 }
 
+bool target_statistics::resetByFullTarget(const routing_target &Target,
+                                          const record &Record,
+                                          time_point Now) {
+  return FullTargets.recordReset(Target.Member.Service, recordKey(Target),
+                                 {Record.Load.Running + Record.Load.Waiting,
+                                  Record.Load.Slots,
+                                  Now - Record.LoadReportedAt},
+                                 Now);
+}
+
 void target_statistics::recordOutcome(const routing_target &Target,
                                       send_outcome Outcome,
                                       std::chrono::nanoseconds Latency,
@@ -132,6 +142,8 @@
   const std::chrono::duration<double> Seconds = Latency;
   switch (Outcome) {
   case send_outcome::Answered:
+    FullTargets.recordAnswer(Target.Member.Service, recordKey(Target),
+                             Now - Latency, Now);
     Record.Failures = 0;
     Record.AnsweredAt = Now;
     Record.NoResponseSince = Now;
@@ -146,6 +158,13 @@
     adjustWindow(Record, false);
     return;
   case send_outcome::Lost:
+    if (resetByFullTarget(Target, Record, Now)) {
+      Record.NoResponseSince = Now;
+      Record.BackoffUntil =
+          std::max(Record.BackoffUntil, Now + Limits.FullBackoff);
+      adjustWindow(Record, false);
+      return;
+    }
     Record.ConnectionLostAt = Now;
     backOff(Record, Limits.LostBackoff, Now);
     ++Record.Failures;
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -6,6 +6,7 @@
 #ifndef POMELOSWITCH_ROUTING_TARGET_STATISTICS_HPP
 #define POMELOSWITCH_ROUTING_TARGET_STATISTICS_HPP
 
+#include "pomeloswitch/routing/full_target_detector.hpp"
 #include "pomeloswitch/routing/routing_view.hpp"
 
 #include <chrono>
@@ -35,6 +36,8 @@
 
 struct target_statistics_limits {
   std::chrono::milliseconds ShedBackoff{60};
+  //! After a reset by a full target: such a reset may lose a request for good.
+  std::chrono::milliseconds FullBackoff{150};
   std::chrono::milliseconds LostBackoff{700};
   std::chrono::milliseconds SilentBackoff{1500};
   std::chrono::milliseconds MaxBackoff{6000};
@@ -125,6 +128,8 @@
     time_point ConnectionLostAt{};
   };
 
+  [[nodiscard]] bool resetByFullTarget(const routing_target &Target,
+                                       const record &Record, time_point Now);
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
   [[nodiscard]] static double windowOf(const record &Record, bool Bounded);
@@ -136,6 +141,7 @@
 
   target_statistics_limits Limits;
   std::map<std::string, record, std::less<>> Records;
+  full_target_detector FullTargets;
 };
 
 } // namespace pomelo
