Targets: waits that end only with time are refused at once; resets of full targets weigh more

Cause: a window below one spaces the requests of a host out, and a backoff holds them back; the expected wait knew neither. And a reset by a full target took a fifth off the window, so that dozens of hosts went on filling it.

Change: the expected wait begins with the time until the next send; services without keys refuse by it as well. A reset by a full target halves the window, and its backoff grows with each in turn.

--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -160,9 +160,10 @@
   case send_outcome::Lost:
     if (resetByFullTarget(Target, Record, Now)) {
       Record.NoResponseSince = Now;
-      Record.BackoffUntil =
-          std::max(Record.BackoffUntil, Now + Limits.FullBackoff);
-      adjustWindow(Record, false);
+      Record.Window =
+          std::max(Limits.MinWindow, Limits.FullDecrease * Record.Window);
+      backOff(Record, Limits.FullBackoff, Now);
+      ++Record.Failures;
       return;
     }
     Record.ConnectionLostAt = Now;
@@ -209,13 +210,29 @@
 
 std::chrono::duration<double>
 target_statistics::expectedWait(const routing_target &Target, std::size_t Ahead,
-                                bool Bounded) const {
+                                time_point Now, bool Bounded) const {
   const record *Record = find(Target);
   if (!Record || Record->Window == 0)
     return {};
   const double Average = std::max(DefaultSeconds, Record->AverageSeconds);
-  return std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
-                                       windowOf(*Record, Bounded));
+  const double Window = windowOf(*Record, Bounded);
+  return untilNextSend(*Record, Window, Now) +
+         std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
+                                       Window);
+}
+
+//! Returns how long no request may be sent for reasons that only time ends.
+std::chrono::duration<double>
+target_statistics::untilNextSend(const record &Record, double Window,
+                                 time_point Now) {
+  std::chrono::duration<double> Wait =
+      std::max(time_point::duration(0), Record.BackoffUntil - Now);
+  if (Window >= 1 || Record.InFlight > 0)
+    return Wait;
+  const std::chrono::duration<double> Spacing(
+      std::max(DefaultSeconds, Record.AverageSeconds) / Window);
+  const std::chrono::duration<double> Since = Now - Record.SentAt;
+  return std::max(Wait, Spacing - Since);
 }
 
 double target_statistics::throughput(const routing_target &Target) const {
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -57,6 +57,7 @@
   double WindowIncrease = 0.3; //!< Requests, added by a report below the limit.
   double WindowDecrease =
       0.8; //!< Factor, by a report above it or a refusal or timeout.
+  double FullDecrease = 0.5; //!< Factor, by a reset of a full target.
   double MinWindow = 0.1;
 };
 
@@ -90,9 +91,9 @@
   [[nodiscard]] bool mayBeCold(const routing_target &Target,
                                time_point Now) const;
   //! Expected wait for the target when \p Ahead other requests are queued
-  //! before this one, estimated from this host's window.
+  //! before this one, estimated from this host's window, and its backoff.
   [[nodiscard]] std::chrono::duration<double>
-  expectedWait(const routing_target &Target, std::size_t Ahead,
+  expectedWait(const routing_target &Target, std::size_t Ahead, time_point Now,
                bool Bounded = false) const;
   //! Requests per second that the target takes of this host, by its window and
   //! its average latency.
@@ -130,6 +131,8 @@
 
   [[nodiscard]] bool resetByFullTarget(const routing_target &Target,
                                        const record &Record, time_point Now);
+  [[nodiscard]] static std::chrono::duration<double>
+  untilNextSend(const record &Record, double Window, time_point Now);
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
   [[nodiscard]] static double windowOf(const record &Record, bool Bounded);
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -278,21 +278,28 @@
       MinRetryAfter + std::chrono::duration_cast<milliseconds>(Spread));
 }
 
-//! Refuses a new request immediately, with a retry time, if the requests ahead
-//! of it take longer than its deadline for waiting to find a target.
+//! Refuses a new request immediately, with a retry time, if it would wait
+//! beyond its deadline for waiting: for the requests ahead of it, or since its
+//! targets get none before.
 void target_selection::refuseIfQueueTooLong(const routing_view &View,
                                             time_point Now) {
   const std::size_t Ahead = Position->requestsAhead();
   const routing_service *Service = View.findService(Request.Service);
-  if (Ahead == 0 || !Service)
+  if (!Service)
     return;
   double PerSecond = 0;
+  auto Earliest = std::chrono::duration<double>::max();
   for (const routing_target_ptr &Target : subsetMembers(
            *Service, View.RingPosition, subsetSizeOf(View, *Service, Now),
-           Request.ExcludedTargets, makePredicates(View, *Service, Now)))
+           Request.ExcludedTargets, makePredicates(View, *Service, Now))) {
     PerSecond += State.Statistics.throughput(*Target);
-  const std::chrono::duration<double> Expected(
-      PerSecond > 0 ? static_cast<double>(Ahead) / PerSecond : 0);
+    Earliest =
+        std::min(Earliest, State.Statistics.expectedWait(*Target, 0, Now));
+  }
+  if (PerSecond <= 0)
+    return;
+  const auto Expected = Earliest + std::chrono::duration<double>(
+                                       static_cast<double>(Ahead) / PerSecond);
   if (Now + Expected <= WaitDeadline)
     return;
   // Those who are refused together return one after the other while the queue
@@ -300,9 +307,10 @@
   std::uniform_real_distribution<> Uniform(0.5, 1);
   throw pomelo_error(
       error_kind::Overloaded,
-      fmt::format("{} requests are already waiting for the service, which will "
-                  "not take this one in time",
-                  Ahead),
+      fmt::format(
+          "the service will not take this request in time; {} others are "
+          "waiting",
+          Ahead),
       std::clamp(std::chrono::duration_cast<milliseconds>(
                      Expected * Uniform(State.Random)),
                  MinRetryAfter, MaxRetryAfter));
@@ -315,8 +323,8 @@
   const std::size_t Ahead = Position->requestsAhead();
   const std::chrono::duration<double> Quiet =
       State.Notices.of(Target).WantsNothingUntil - Now;
-  const auto Expected =
-      std::max(State.Statistics.expectedWait(Target, Ahead, Bounded), Quiet);
+  const auto Expected = std::max(
+      State.Statistics.expectedWait(Target, Ahead, Now, Bounded), Quiet);
   if (Now + Expected <= WaitDeadline)
     return;
   const auto HalfWait = std::chrono::duration_cast<milliseconds>(Expected / 2);
