Operators: a control host that does not lead sends their changes to the leader

Trace: one control host was frozen, 70 % of the responses to the operator were lost, and a follower answered with a redirection. So two responses had to arrive in a row; the change reached the leader first at 8.09 s, and again at 10.28 s. The leader itself was not busy.

Change: a follower sends the change to the leader on the link of the log and answers once it has applied it, so that a single response suffices at any control host. Reads go to the leader as before.

--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -36,6 +37,8 @@
 constexpr milliseconds OverloadInterval{200};
 //! From one decision on the roll-outs to the next.
 constexpr milliseconds RolloutInterval{100};
+//! After it nobody waits for a change that was sent to the leader.
+constexpr milliseconds ForwardedChangeTimeout{5000};
 constexpr milliseconds ActivityLogInterval{5000};
 
 //! In the order of control_activity.
@@ -185,6 +188,7 @@
   const apply_result &Result = Results[Entry.Index] =
       State.apply(Entry.Index, Command);
   logDecision(Command, Result, Entry.Index);
+  completeForwarded(Command, Result, Entry.Index);
   const bool DomainRestored =
       Command.has_set_drain() && !Command.set_drain().out() &&
       Command.set_drain().scope() == wire::set_drain::FAILURE_DOMAIN;
@@ -236,6 +240,40 @@
   });
 }
 
+//! An operator's call that meets a follower needs no second connection, and no
+//! second response that may be lost.
+bool control_host::submitChange(wire::command Command, change_completion Done) {
+  if (Log->leadershipConfirmed()) {
+    proposeChange(std::move(Command), std::move(Done));
+    return true;
+  }
+  const mono_time Now = steady_clock::now();
+  std::erase_if(ForwardedChanges, [Now](const auto &Entry) {
+    return Now - Entry.second.SentAt > ForwardedChangeTimeout;
+  });
+  if (!Log->leaderReachable())
+    return false;
+  Command.set_operation_id(
+      fmt::format("{}/{}/{}", Settings.HostId, unixNowMs(), ++LastForwarded));
+  wire::envelope Message;
+  *Message.mutable_proposal()->mutable_command() = Command;
+  if (!Log->sendToLeader(Message))
+    return false;
+  ForwardedChanges[Command.operation_id()] = {Now, std::move(Done)};
+  return true;
+}
+
+void control_host::completeForwarded(const wire::command &Command,
+                                     const apply_result &Result,
+                                     std::uint64_t Index) {
+  const auto Found = ForwardedChanges.find(Command.operation_id());
+  if (Found == ForwardedChanges.end())
+    return;
+  const change_completion Done = std::move(Found->second.Done);
+  ForwardedChanges.erase(Found);
+  Done(Result, Index);
+}
+
 void control_host::onMessage(const std::shared_ptr<peer_link> &Link,
                              const wire::envelope &Message) {
   switch (Message.body_case()) {
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -74,6 +74,11 @@
   //! Returns the bound addresses as a JSON object.
   [[nodiscard]] std::string describe() const;
 
+  //! Proposes an operator's change, at the leader if this host does not lead.
+  //! \p Done is called once this host has applied it, and not at all if it is
+  //! lost on its way. Returns false if no leader can be reached.
+  bool submitChange(wire::command Command, change_completion Done);
+
   // admin_backend
   void proposeChange(wire::command Command, change_completion Done) override;
   [[nodiscard]] const cluster_state &state() const override { return State; }
@@ -104,6 +109,8 @@
   void addQuotaGrant(const wire::heartbeat &Heartbeat, mono_time Now,
                      wire::heartbeat_ack &Ack);
   void recordTarget(target_status Status);
+  void completeForwarded(const wire::command &Command,
+                         const apply_result &Result, std::uint64_t Index);
   void onForwardedReports(const wire::forwarded_reports &Forwarded);
   void forwardReports();
   void onProposal(const std::shared_ptr<peer_link> &Link,
@@ -149,6 +156,14 @@
   std::vector<owner_share> OverloadedOwners; //!< Told to the entry hosts.
   mono_time OverloadedOwnersAt{};
   std::map<std::uint64_t, apply_result> Results;
+  //! A change that was sent to the leader.
+  struct forwarded_change {
+    mono_time SentAt{};
+    change_completion Done;
+  };
+  //! By operation id.
+  std::map<std::string, forwarded_change, std::less<>> ForwardedChanges;
+  std::uint64_t LastForwarded = 0; //!< Number of the latest one.
   //! Members of the control group at the latest tick, and a hash of them.
   std::vector<control_member> Members;
   std::uint64_t MembersHash = 0;
--- a/tests/control/idle_log.hpp
+++ b/tests/control/idle_log.hpp
@@ -12,10 +12,10 @@
 
 namespace pomelo {
 
-//! A log that commits nothing. It follows the test, or leads.
+//! A log that commits what the test says. It follows the test, or leads.
 class idle_log final : public replicated_log {
 public:
-  void start(applier) override {}
+  void start(applier Given) override { Applier = std::move(Given); }
   void stop() override {}
   void propose(std::string, completion Done) override {
     Done({error_kind::NotLeader, 0});
@@ -43,6 +43,7 @@
   }
   std::uint64_t removeMember(const std::string &) override { return 0; }
 
+  applier Applier;
   bool Leads = false;
   bool Reachable = true; //!< Whether the leader is.
   std::vector<wire::envelope> Sent;
