Roll-outs: operators' commands, administration API and metrics

pomeloctl rollout start|show|list use the new calls POST /v1/rollouts, GET /v1/rollout?service= and GET /v1/rollouts. An order is refused if the control settings have no "rollouts", as by the platform's call. Control hosts export pomelo_rollout_stage and pomelo_rollout_share by service.

--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -25,6 +25,8 @@
 namespace json = boost::json;
 constexpr auto MaxInForceWait = std::chrono::seconds(10);
 constexpr int PendingExitCode = 17;
+//! The administration API accepts no longer duration.
+constexpr std::uint64_t MaxRolloutSeconds = 1'000'000'000;
 constexpr std::string_view Version = "pomeloctl 0.1.0";
 
 constexpr const char *Usage = R"(pomeloctl: operates a pomeloswitch deployment.
@@ -39,6 +41,9 @@
   pomeloctl [options] key withdraw <key-id>
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
+  pomeloctl [options] rollout start SERVICE VERSION --within=SECONDS
+  pomeloctl [options] rollout show SERVICE
+  pomeloctl [options] rollout list
   pomeloctl [options] owner SERVICE KEY
   pomeloctl [options] (explain | story) REQUEST LOG...
   pomeloctl [options] host show ADDRESS
@@ -61,10 +66,15 @@
                        first answer. Default: a random id.
   --wait               After a change, wait up to 10 s until it is in force on
                        every entry host.
+  --within=SECONDS     Time limit of a roll-out; what is not proven good by
+                       then is rolled back.
   --json               Print the answer as JSON.
   -h --help            Show this text.
   --version            Show the version.
 
+rollout start moves a service to the targets of another version, by as much as
+their responses justify; show and list print how far it is, and why.
+
 owner prints which target owns a key, and since when. "explain SERVICE KEY", its
 earlier name, is still accepted unless KEY names a file.
 
@@ -183,6 +193,21 @@
                            json::serialize(Body));
 }
 
+admin_request rolloutRequest(const arguments &Arguments) {
+  if (hasArgument(Arguments, "list"))
+    return makeReadRequest("/v1/rollouts");
+  const std::string Service = Arguments.at("SERVICE").asString();
+  if (hasArgument(Arguments, "show"))
+    return makeReadRequest(
+        fmt::format("/v1/rollout?service={}", percentEncoded(Service)));
+  const json::object Body{
+      {"service", Service},
+      {"version", Arguments.at("VERSION").asString()},
+      {"duration_s", wholeNumber(Arguments, "--within", MaxRolloutSeconds)}};
+  return makeChangeRequest(Arguments, "POST", "/v1/rollouts",
+                           json::serialize(Body));
+}
+
 admin_request ownerRequest(std::string_view Service, std::string_view Key) {
   return makeReadRequest(fmt::format("/v1/explain?service={}&key={}",
                                      percentEncoded(Service),
@@ -200,6 +225,8 @@
     return drainRequest(Arguments, "failure_domain");
   if (hasArgument(Arguments, "target"))
     return drainRequest(Arguments, "target");
+  if (hasArgument(Arguments, "rollout"))
+    return rolloutRequest(Arguments);
   if (hasArgument(Arguments, "control"))
     return controlRequest(Arguments);
   if (hasArgument(Arguments, "snapshot"))
--- a/src/pomeloswitch/control/admin_api.cpp
+++ b/src/pomeloswitch/control/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "pomeloswitch/control/admin_api.hpp"
 
+#include "pomeloswitch/control/rollout_description.hpp"
 #include "pomeloswitch/membership/in_force.hpp"
 #include "pomeloswitch/raft/replicated_log.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
@@ -160,6 +161,9 @@
     {http::verb::post, "/v1/keys", true, &admin_api::postKey},
     {http::verb::post, "/v1/keys/withdraw", true, &admin_api::postWithdrawal},
     {http::verb::post, "/v1/drains", true, &admin_api::postDrain},
+    {http::verb::get, "/v1/rollouts", true, &admin_api::getRollouts},
+    {http::verb::get, "/v1/rollout", true, &admin_api::getRollout},
+    {http::verb::post, "/v1/rollouts", true, &admin_api::postRollout},
     {http::verb::get, "/v1/control-hosts", false, &admin_api::getControlHosts},
     {http::verb::post, "/v1/control-hosts", true, &admin_api::postControlHost},
     {http::verb::post, "/v1/control-hosts/remove", true,
@@ -363,4 +367,36 @@
   co_return co_await applyChange(Request, std::move(Command));
 }
 
+asio::awaitable<json::object> admin_api::getRollouts(const text_request &) {
+  co_return json::object{
+      {"rollouts", describeRollouts(Backend.state().rollouts())}};
+}
+
+asio::awaitable<json::object>
+admin_api::getRollout(const text_request &Request) {
+  const std::string Service = queryValue(Request, "service");
+  const rollout *Rollout = Backend.state().rollouts().find(Service);
+  if (!Rollout)
+    throw pomelo_error(
+        error_kind::NotFound,
+        fmt::format("there is no roll-out of the service \"{}\"", Service));
+  co_return describeRollout(Service, *Rollout);
+}
+
+asio::awaitable<json::object>
+admin_api::postRollout(const text_request &Request) {
+  if (!Backend.settings().RolloutsEnabled)
+    throw pomelo_error(
+        error_kind::InvalidChange,
+        "rollouts: the settings of this control host allow no roll-outs");
+  const json::object Body = parseObject(Request.body());
+  wire::command Command;
+  auto *Start = Command.mutable_start_rollout();
+  Start->set_service(nonEmptyStringIn(Body, "service"));
+  Start->set_version(nonEmptyStringIn(Body, "version"));
+  Start->set_duration_ms(
+      static_cast<std::uint64_t>(durationIn(Body, "duration_s").count()));
+  co_return co_await applyChange(Request, std::move(Command));
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/control/admin_api.hpp
+++ b/src/pomeloswitch/control/admin_api.hpp
@@ -91,6 +91,12 @@
   postWithdrawal(const text_request &Request);
   boost::asio::awaitable<boost::json::object>
   postDrain(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getRollouts(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  getRollout(const text_request &Request);
+  boost::asio::awaitable<boost::json::object>
+  postRollout(const text_request &Request);
 
   // control_group_api.cpp
   boost::asio::awaitable<boost::json::object>
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/control/control_host.hpp"
 
 #include "pomeloswitch/control/decision_events.hpp"
+#include "pomeloswitch/control/rollout_description.hpp"
 #include "pomeloswitch/membership/member_planner.hpp"
 #include "pomeloswitch/raft/file_storage.hpp"
 #include "pomeloswitch/raft/raft_log.hpp"
@@ -415,6 +416,7 @@
     ++Roles[Member.Voter ? "voter" : "learner"];
   for (const auto &[Role, Count] : Roles)
     Metrics.setGauge("pomelo_control_members", {{"role", Role}}, Count);
+  exportRollouts(State.rollouts(), Metrics);
   text_response Response = makeJsonResponse(Metrics.text(), Request.version());
   Response.set(boost::beast::http::field::content_type,
                "text/plain; version=0.0.4");
