pomeloctl check: validation of a configuration before it is sent

configuration_check is a pure function from the documents to findings. Errors are what the control hosts would refuse, the first of each document. Warnings are routes that can never match, deadlines below the aim and services that no route sends requests to. Differences from other files or from the configuration in force are listed by field and do not change the exit code.

The route table and the check share hasPathPrefix, so that both agree on what a route matches.

Rates above what targets can serve are not checked: the documents do not tell the targets' capacity.

--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/operator_commands.hpp"
 
 #include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/cli/check_command.hpp"
 #include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/request_timeline.hpp"
 #include "pomeloswitch/cli/rpc_client.hpp"
@@ -17,6 +18,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <sstream>
 
 namespace pomelo {
@@ -53,6 +55,8 @@
   pomeloctl [options] control remove ID
   pomeloctl [options] control replace OLD ID ADDRESS
   pomeloctl [options] snapshot export FILE
+  pomeloctl [options] check INVENTORY RULES [--in-force]
+  pomeloctl [options] check INVENTORY RULES --against-inventory=FILE --against-rules=FILE
   pomeloctl (-h | --help)
   pomeloctl --version
 
@@ -68,6 +72,9 @@
                        every entry host.
   --within=SECONDS     Time limit of a roll-out; what is not proven good by
                        then is rolled back.
+  --in-force           Compare with the configuration in force.
+  --against-inventory=FILE  Inventory to compare with.
+  --against-rules=FILE      Rules to compare with.
   --json               Print the answer as JSON.
   -h --help            Show this text.
   --version            Show the version.
@@ -81,6 +88,11 @@
 explain, or story, prints the timeline of one request from the logs of several
 processes; REQUEST is the request id sent by the caller.
 
+check reports errors and probable mistakes in the files of a configuration, and
+with --in-force or --against-... the differences from another version. Its exit
+codes are 0, nothing to report but differences; 1, warnings only; 2, errors, or
+a file cannot be read. It changes nothing.
+
 Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
 change; 4 version conflict; 5 not the leader; 6 no quorum, outcome unknown;
 7 not found; 8 storage failed; 10 bad request; 11 credential refused; 17
@@ -294,6 +306,35 @@
                         {"key", Arguments.at("KEY").asString()}});
 }
 
+//! Returns the text of a document in force; empty if there is none.
+std::string documentInForce(admin_client &Client, std::string Target) {
+  const json::object Answer = Client.call(makeReadRequest(std::move(Target)));
+  const json::value &Document = Answer.at("document");
+  return Document.is_null() ? std::string() : json::serialize(Document);
+}
+
+std::optional<configuration_documents>
+earlierConfiguration(const arguments &Arguments) {
+  if (hasArgument(Arguments, "--in-force")) {
+    admin_client Client = makeClient(Arguments);
+    return configuration_documents{documentInForce(Client, "/v1/inventory"),
+                                   documentInForce(Client, "/v1/rules")};
+  }
+  if (!Arguments.at("--against-inventory"))
+    return std::nullopt;
+  return configuration_documents{
+      readFile(Arguments.at("--against-inventory").asString()),
+      readFile(Arguments.at("--against-rules").asString())};
+}
+
+int checkFiles(const arguments &Arguments) {
+  const configuration_documents Documents{
+      readFile(Arguments.at("INVENTORY").asString()),
+      readFile(Arguments.at("RULES").asString())};
+  return runConfigurationCheck(Documents, earlierConfiguration(Arguments),
+                               hasArgument(Arguments, "--json"));
+}
+
 void print(const arguments &Arguments, const json::object &Answer) {
   if (hasArgument(Arguments, "--json"))
     fmt::print("{}\n", json::serialize(Answer));
@@ -357,6 +398,8 @@
     print(Arguments, queryEntryHost(Arguments));
     return 0;
   }
+  if (hasArgument(Arguments, "check"))
+    return checkFiles(Arguments);
   if (asksForTimeline(Arguments))
     return printTimeline(Arguments);
   const admin_request Request = makeRequest(Arguments);
--- a/src/pomeloswitch/routing/route_table.cpp
+++ b/src/pomeloswitch/routing/route_table.cpp
@@ -1,5 +1,7 @@
 #include "pomeloswitch/routing/route_table.hpp"
 
+#include "pomeloswitch/settings/path_prefix.hpp"
+
 #include <boost/algorithm/string/predicate.hpp>
 
 #include <algorithm>
@@ -19,15 +21,6 @@
              : Target.substr(QuestionMark + 1);
 }
 
-//! Whether the path starts with the prefix of the route and the prefix ends at
-//! a segment boundary.
-bool matchesPath(const route &Route, std::string_view Path) {
-  if (!Path.starts_with(Route.PathPrefix))
-    return false;
-  const std::string_view Rest = Path.substr(Route.PathPrefix.size());
-  return Rest.empty() || Rest.front() == '/' || Route.PathPrefix.ends_with('/');
-}
-
 //! \p Host may include a port, which is ignored.
 bool matchesHost(const route &Route, std::string_view Host) {
   return Route.Host.empty() ||
@@ -85,7 +78,8 @@
   const std::string_view Path = pathOf(Request.Target);
   const auto Found = std::find_if(
       Rules.Routes.begin(), Rules.Routes.end(), [&](const route &Route) {
-        return matchesHost(Route, Request.Host) && matchesPath(Route, Path) &&
+        return matchesHost(Route, Request.Host) &&
+               hasPathPrefix(Path, Route.PathPrefix) &&
                matchesMethod(Route, Request.Method);
       });
   return Found == Rules.Routes.end() ? nullptr : &*Found;
