--- a/src/pomeloswitch/cli/operator_commands.cpp
+++ b/src/pomeloswitch/cli/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/cli/operator_commands.hpp"
 
 #include "pomeloswitch/cli/admin_client.hpp"
+#include "pomeloswitch/cli/check_command.hpp"
 #include "pomeloswitch/cli/command_line.hpp"
 #include "pomeloswitch/cli/request_timeline.hpp"
 #include "pomeloswitch/cli/rpc_client.hpp"
@@ -17,6 +18,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <sstream>
 
 namespace pomelo {
@@ -25,6 +27,8 @@
 namespace json = boost::json;
 constexpr auto MaxInForceWait = std::chrono::seconds(10);
 constexpr int PendingExitCode = 17;
+//! The administration API accepts no longer duration.
+constexpr std::uint64_t MaxRolloutSeconds = 1'000'000'000;
 constexpr std::string_view Version = "pomeloctl 0.1.0";
 
 constexpr const char *Usage = R"(pomeloctl: operates a pomeloswitch deployment.
@@ -39,6 +43,9 @@
   pomeloctl [options] key withdraw <key-id>
   pomeloctl [options] domain (out | in) NAME
   pomeloctl [options] target (out | in) NAME
+  pomeloctl [options] rollout start SERVICE VERSION --within=SECONDS
+  pomeloctl [options] rollout show SERVICE
+  pomeloctl [options] rollout list
   pomeloctl [options] owner SERVICE KEY
   pomeloctl [options] (explain | story) REQUEST LOG...
   pomeloctl [options] host show ADDRESS
@@ -48,6 +55,8 @@
   pomeloctl [options] control remove ID
   pomeloctl [options] control replace OLD ID ADDRESS
   pomeloctl [options] snapshot export FILE
+  pomeloctl [options] check INVENTORY RULES [--in-force]
+  pomeloctl [options] check INVENTORY RULES --against-inventory=FILE --against-rules=FILE
   pomeloctl (-h | --help)
   pomeloctl --version
 
@@ -61,16 +70,29 @@
                        first answer. Default: a random id.
   --wait               After a change, wait up to 10 s until it is in force on
                        every entry host.
+  --within=SECONDS     Time limit of a roll-out; what is not proven good by
+                       then is rolled back.
+  --in-force           Compare with the configuration in force.
+  --against-inventory=FILE  Inventory to compare with.
+  --against-rules=FILE      Rules to compare with.
   --json               Print the answer as JSON.
   -h --help            Show this text.
   --version            Show the version.
 
+rollout start moves a service to the targets of another version, by as much as
+their responses justify; show and list print how far it is, and why.
+
 owner prints which target owns a key, and since when. "explain SERVICE KEY", its
 earlier name, is still accepted unless KEY names a file.
 
 explain, or story, prints the timeline of one request from the logs of several
 processes; REQUEST is the request id sent by the caller.
 
+check reports errors and probable mistakes in the files of a configuration, and
+with --in-force or --against-... the differences from another version. Its exit
+codes are 0, nothing to report but differences; 1, warnings only; 2, errors, or
+a file cannot be read. It changes nothing.
+
 Exit codes: 0 done; 1 internal error; 2 bad settings or usage; 3 invalid
 change; 4 version conflict; 5 not the leader; 6 no quorum, outcome unknown;
 7 not found; 8 storage failed; 10 bad request; 11 credential refused; 17
@@ -183,6 +205,21 @@
                            json::serialize(Body));
 }
 
+admin_request rolloutRequest(const arguments &Arguments) {
+  if (hasArgument(Arguments, "list"))
+    return makeReadRequest("/v1/rollouts");
+  const std::string Service = Arguments.at("SERVICE").asString();
+  if (hasArgument(Arguments, "show"))
+    return makeReadRequest(
+        fmt::format("/v1/rollout?service={}", percentEncoded(Service)));
+  const json::object Body{
+      {"service", Service},
+      {"version", Arguments.at("VERSION").asString()},
+      {"duration_s", wholeNumber(Arguments, "--within", MaxRolloutSeconds)}};
+  return makeChangeRequest(Arguments, "POST", "/v1/rollouts",
+                           json::serialize(Body));
+}
+
 admin_request ownerRequest(std::string_view Service, std::string_view Key) {
   return makeReadRequest(fmt::format("/v1/explain?service={}&key={}",
                                      percentEncoded(Service),
@@ -200,6 +237,8 @@
     return drainRequest(Arguments, "failure_domain");
   if (hasArgument(Arguments, "target"))
     return drainRequest(Arguments, "target");
+  if (hasArgument(Arguments, "rollout"))
+    return rolloutRequest(Arguments);
   if (hasArgument(Arguments, "control"))
     return controlRequest(Arguments);
   if (hasArgument(Arguments, "snapshot"))
@@ -267,6 +306,35 @@
                         {"key", Arguments.at("KEY").asString()}});
 }
 
+//! Returns the text of a document in force; empty if there is none.
+std::string documentInForce(admin_client &Client, std::string Target) {
+  const json::object Answer = Client.call(makeReadRequest(std::move(Target)));
+  const json::value &Document = Answer.at("document");
+  return Document.is_null() ? std::string() : json::serialize(Document);
+}
+
+std::optional<configuration_documents>
+earlierConfiguration(const arguments &Arguments) {
+  if (hasArgument(Arguments, "--in-force")) {
+    admin_client Client = makeClient(Arguments);
+    return configuration_documents{documentInForce(Client, "/v1/inventory"),
+                                   documentInForce(Client, "/v1/rules")};
+  }
+  if (!Arguments.at("--against-inventory"))
+    return std::nullopt;
+  return configuration_documents{
+      readFile(Arguments.at("--against-inventory").asString()),
+      readFile(Arguments.at("--against-rules").asString())};
+}
+
+int checkFiles(const arguments &Arguments) {
+  const configuration_documents Documents{
+      readFile(Arguments.at("INVENTORY").asString()),
+      readFile(Arguments.at("RULES").asString())};
+  return runConfigurationCheck(Documents, earlierConfiguration(Arguments),
+                               hasArgument(Arguments, "--json"));
+}
+
 void print(const arguments &Arguments, const json::object &Answer) {
   if (hasArgument(Arguments, "--json"))
     fmt::print("{}\n", json::serialize(Answer));
@@ -330,6 +398,8 @@
     print(Arguments, queryEntryHost(Arguments));
     return 0;
   }
+  if (hasArgument(Arguments, "check"))
+    return checkFiles(Arguments);
   if (asksForTimeline(Arguments))
     return printTimeline(Arguments);
   const admin_request Request = makeRequest(Arguments);
