Roll-outs: versions that were rolled back or replaced stay ruled out

A new order replaced the record of the earlier roll-out, so a version that had been rolled back, or replaced, got requests and keys again. The record now names the version in force and those rolled back since. An order that names the version in force needs no comparison: it only waits for the hosts.

--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -106,7 +106,8 @@
   //! At the end of a roll-out the slots of the old versions move a few at a
   //! time, like before.
   bool mayKeepInRollout(const target_member &Target) const {
-    return Rollout || State.allowedByRollout(Target);
+    return State.allowedByRollout(Target) ||
+           (Rollout && Rollout->replaces(Target.Version));
   }
 
   //! Scales capacities so that the new version gets its share of the weight.
--- a/src/pomeloswitch/state/rollout_table.cpp
+++ b/src/pomeloswitch/state/rollout_table.cpp
@@ -32,6 +32,27 @@
          NowMs < Latest.StartedMs + Latest.DurationMs;
 }
 
+//! Returns the roll-out of \p Version that follows \p Latest. What this one
+//! ruled out stays so.
+rollout successorOf(const rollout &Latest, const std::string &Version) {
+  rollout Next;
+  Next.Version = Version;
+  if (Latest.Stage == rollout_stage::Completed) {
+    Next.EarlierVersion = Latest.Version;
+  } else if (Latest.Stage == rollout_stage::RolledBack) {
+    Next.EarlierVersion = Latest.EarlierVersion;
+    Next.RolledBackVersions = Latest.RolledBackVersions;
+    Next.RolledBackVersions.insert(Latest.Version);
+    Next.RolledBackVersions.erase(Version);
+  }
+  if (Next.EarlierVersion == Version) {
+    Next.Stage = rollout_stage::Completing;
+    Next.SharePermille = WholeShare;
+    Next.Reason = "the service is at this version already";
+  }
+  return Next;
+}
+
 } // namespace
 
 std::string_view toString(rollout_stage Stage) {
@@ -42,16 +63,22 @@
   const bool IsNew = TargetVersion == Version;
   switch (Stage) {
   case rollout_stage::Running:
-    return true;
+    return IsNew || replaces(TargetVersion);
   case rollout_stage::Completing:
   case rollout_stage::Completed:
     return IsNew;
   case rollout_stage::RolledBack:
-    return !IsNew;
+    return replaces(TargetVersion);
   }
   return false;
 }
 
+bool rollout::replaces(std::string_view TargetVersion) const {
+  return TargetVersion != Version &&
+         (EarlierVersion.empty() || TargetVersion == EarlierVersion) &&
+         !RolledBackVersions.contains(TargetVersion);
+}
+
 void rollout_table::start(const wire::start_rollout &Order, std::uint64_t Index,
                           std::uint64_t NowMs) {
   checkOrder(Order);
@@ -64,8 +91,7 @@
         fmt::format("rollout: the service \"{}\" is being moved to version "
                     "\"{}\"",
                     Order.service(), Latest.Version));
-  Latest = {};
-  Latest.Version = Order.version();
+  Latest = successorOf(Latest, Order.version());
   Latest.StartedIndex = Latest.ChangedIndex = Index;
   Latest.StartedMs = NowMs;
   Latest.DurationMs = Order.duration_ms();
@@ -113,6 +139,9 @@
     Record->set_share_permille(Rollout.SharePermille);
     Record->set_reason(Rollout.Reason);
     Record->set_changed_index(Rollout.ChangedIndex);
+    Record->set_earlier_version(Rollout.EarlierVersion);
+    for (const std::string &Version : Rollout.RolledBackVersions)
+      Record->add_rolled_back(Version);
   }
 }
 
@@ -132,7 +161,9 @@
         static_cast<rollout_stage>(Record.stage()),
         Record.share_permille(),
         Record.reason(),
-        Record.changed_index()};
+        Record.changed_index(),
+        Record.earlier_version(),
+        {Record.rolled_back().begin(), Record.rolled_back().end()}};
   }
   return Table;
 }
--- a/src/pomeloswitch/state/rollout_table.hpp
+++ b/src/pomeloswitch/state/rollout_table.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,11 @@
   std::uint32_t SharePermille = 0; //!< Of the requests, to the new version.
   std::string Reason;              //!< Of the latest change.
   std::uint64_t ChangedIndex = 0;  //!< Log index of the latest change.
+  //! The version that an earlier roll-out moved the service to; empty if there
+  //! was none, and any version may be replaced.
+  std::string EarlierVersion = {};
+  //! Versions that were rolled back since then.
+  std::set<std::string, std::less<>> RolledBackVersions = {};
 
   [[nodiscard]] bool ended() const {
     return Stage == rollout_stage::Completed ||
@@ -43,6 +49,9 @@
   }
   //! Whether targets of \p TargetVersion may get requests at all.
   [[nodiscard]] bool allows(std::string_view TargetVersion) const;
+  //! Whether \p TargetVersion is one that this roll-out replaces. An earlier
+  //! roll-out may have ruled it out.
+  [[nodiscard]] bool replaces(std::string_view TargetVersion) const;
 };
 
 inline constexpr std::size_t MaxVersionBytes = 256;
@@ -54,7 +63,8 @@
 public:
   //! Starts a roll-out. An order that repeats the latest one within its time
   //! limit, or names the version that the service has been moved to, changes
-  //! nothing.
+  //! nothing. An order that names the version in force after another one was
+  //! rolled back only waits for the hosts to confirm.
   //! \throws pomelo_error InvalidChange if the order itself is invalid,
   //!         VersionConflict if the service is being moved to another version.
   void start(const wire::start_rollout &Order, std::uint64_t Index,
--- /dev/null
+++ b/tests/rollout/rollout_targets_test.cpp
@@ -0,0 +1,154 @@
+//! Which versions and which targets may get requests, after several roll-outs.
+#include "pomeloswitch/ownership/slot_planner.hpp"
+#include "pomeloswitch/state/rollout_targets.hpp"
+#include "state/state_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace pomelo {
+namespace {
+
+const rollout &latestOf(const cluster_state &State) {
+  return *State.rollouts().find("archive");
+}
+
+void join(test_cluster &Driven, const std::string &Id,
+          const std::string &Version) {
+  wire::command Command;
+  auto &Joined = *Command.mutable_target_joined();
+  Joined.set_target_id(Id);
+  Joined.set_incarnation(1);
+  Joined.set_service("archive");
+  Joined.set_failure_domain("a");
+  // A target that announces the address of another one replaces it.
+  Joined.set_address(
+      fmt::format("127.0.0.1:{}", 9000 + Driven.State.targets().size()));
+  Joined.set_slots(1);
+  Joined.set_version(Version);
+  Driven.apply(Command);
+}
+
+void order(test_cluster &Driven, const std::string &Version) {
+  wire::command Command;
+  Command.set_time_ms(Driven.State.timeMs() + 60'000);
+  Command.mutable_start_rollout()->set_service("archive");
+  Command.mutable_start_rollout()->set_version(Version);
+  Command.mutable_start_rollout()->set_duration_ms(10'000);
+  const apply_result Result = Driven.apply(Command);
+  ASSERT_TRUE(Result.accepted()) << Result.Message;
+}
+
+void advance(test_cluster &Driven, rollout_stage Stage,
+             std::uint32_t Permille) {
+  wire::command Command;
+  auto &Change = *Command.mutable_advance_rollout();
+  Change.set_service("archive");
+  Change.set_started_index(latestOf(Driven.State).StartedIndex);
+  Change.set_stage(static_cast<std::uint32_t>(Stage));
+  Change.set_share_permille(Permille);
+  Driven.apply(Command);
+}
+
+struct ended_rollout {
+  std::string Version;
+  rollout_stage End;
+};
+
+struct history_case {
+  std::string Name;
+  std::vector<ended_rollout> Earlier;
+  std::string Ordered;
+  std::vector<std::string> Allowed; //!< Of v1 to v4.
+  rollout_stage Stage = rollout_stage::Running;
+};
+
+void PrintTo(const history_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class rollout_history : public testing::TestWithParam<history_case> {
+protected:
+  void SetUp() override {
+    Driven.setInventory(testInventory(8));
+    Driven.setRules(testRules(1000));
+    for (const ended_rollout &Earlier : GetParam().Earlier) {
+      order(Driven, Earlier.Version);
+      advance(Driven, Earlier.End, 0);
+    }
+    order(Driven, GetParam().Ordered);
+  }
+
+  test_cluster Driven;
+};
+
+std::vector<std::string> allowedIn(const cluster_state &State) {
+  std::vector<std::string> Allowed;
+  for (const std::string Version : {"v1", "v2", "v3", "v4"})
+    if (latestOf(State).allows(Version))
+      Allowed.push_back(Version);
+  return Allowed;
+}
+
+// Guards against requests to a version that was rolled back or replaced, once
+// another version is ordered, also after a restart.
+TEST_P(rollout_history, still_rules_out_the_versions) {
+  EXPECT_EQ(toString(latestOf(Driven.State).Stage), toString(GetParam().Stage));
+  EXPECT_EQ(allowedIn(Driven.State), GetParam().Allowed);
+  EXPECT_EQ(allowedIn(cluster_state::fromSnapshot(Driven.State.toSnapshot())),
+            GetParam().Allowed);
+}
+
+// Guards against keys that are granted to such a version.
+TEST_P(rollout_history, grants_keys_to_allowed_versions_only) {
+  for (const std::string Version : {"v1", "v2", "v3", "v4"})
+    join(Driven, "t" + Version, Version);
+  const mono_time Now{std::chrono::hours(1)};
+  lease_table Leases{lease_times()};
+  Leases.startTerm(Driven.State, Now);
+  for (const auto &[Id, Target] : Driven.State.targets())
+    Leases.targetHeard(
+        {Target, Driven.State.index(), Driven.State.index(), Now}, 1'000'000);
+  Driven.applyAll(
+      slot_planner(planner_limits()).plan(Driven.State, Leases, {}, Now));
+  for (const slot_ownership &Slot : *Driven.State.sharedSlots("archive"))
+    if (!Slot.Owner.empty()) {
+      EXPECT_TRUE(std::ranges::count(GetParam().Allowed, Slot.Owner.substr(1)))
+          << Slot.Owner;
+    }
+}
+
+constexpr auto Completed = rollout_stage::Completed;
+constexpr auto RolledBack = rollout_stage::RolledBack;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, rollout_history,
+    testing::Values(history_case{"first", {}, "v2", {"v1", "v2", "v3", "v4"}},
+                    history_case{"after_a_roll_back",
+                                 {{"v2", RolledBack}},
+                                 "v3",
+                                 {"v1", "v3", "v4"}},
+                    history_case{"same_again_after_a_roll_back",
+                                 {{"v2", RolledBack}},
+                                 "v2",
+                                 {"v1", "v2", "v3", "v4"}},
+                    history_case{"after_two_roll_backs",
+                                 {{"v2", RolledBack}, {"v3", RolledBack}},
+                                 "v4",
+                                 {"v1", "v4"}},
+                    history_case{"after_a_completion",
+                                 {{"v2", Completed}},
+                                 "v3",
+                                 {"v2", "v3"}},
+                    history_case{"after_a_completion_and_a_roll_back",
+                                 {{"v2", Completed}, {"v3", RolledBack}},
+                                 "v4",
+                                 {"v2", "v4"}},
+                    history_case{"back_to_the_version_in_force",
+                                 {{"v2", Completed}, {"v3", RolledBack}},
+                                 "v2",
+                                 {"v2"},
+                                 rollout_stage::Completing}),
+    [](const auto &Info) { return Info.param.Name; });
+
+} // namespace
+} // namespace pomelo
