--- a/src/pomeloswitch/state/rollout_targets.cpp
+++ b/src/pomeloswitch/state/rollout_targets.cpp
@@ -17,7 +17,8 @@
                  const rollout &Rollout, name_set &HeldBack) {
   std::vector<std::pair<std::uint64_t, std::string>> Targets;
   for (const auto &[Id, Member] : State.targets())
-    if (Member.Service == Service && Member.Version == Rollout.Version)
+    if (Member.Service == Service && Member.Version == Rollout.Version &&
+        !Member.Leaving && !State.drainedByOperators(Member))
       Targets.emplace_back(stableHash(Id), Id);
   std::sort(Targets.begin(), Targets.end());
   const double Share = Rollout.SharePermille / double{WholeShare};
--- a/tests/rollout/rollout_targets_test.cpp
+++ b/tests/rollout/rollout_targets_test.cpp
@@ -150,5 +150,35 @@
                                  rollout_stage::Completing}),
     [](const auto &Info) { return Info.param.Name; });
 
+std::vector<std::string> inUse(const cluster_state &State) {
+  const name_set HeldBack = heldBackTargets(State);
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Target] : State.targets())
+    if (!Target.Leaving && !State.drainedByOperators(Target) &&
+        !HeldBack.contains(Id))
+      Ids.push_back(Id);
+  return Ids;
+}
+
+// Guards against a roll-out without evidence because the few targets that it
+// uses leave: the others have to take their place.
+TEST(rollout_targets, replaces_targets_that_leave) {
+  test_cluster Driven;
+  Driven.setInventory(testInventory(8));
+  Driven.setRules(testRules(1000));
+  for (int Number = 0; Number < 12; ++Number)
+    join(Driven, fmt::format("t{}", Number), "v2");
+  order(Driven, "v2");
+  advance(Driven, rollout_stage::Running, 20);
+  ASSERT_EQ(inUse(Driven.State).size(), 5U);
+  for (const std::string &Id : inUse(Driven.State)) {
+    wire::command Command;
+    Command.mutable_target_leaving()->set_target_id(Id);
+    Command.mutable_target_leaving()->set_incarnation(1);
+    Driven.apply(Command);
+  }
+  EXPECT_EQ(inUse(Driven.State).size(), 5U);
+}
+
 } // namespace
 } // namespace pomelo
