--- a/src/pomeloswitch/rollout/rollout_meter.cpp
+++ b/src/pomeloswitch/rollout/rollout_meter.cpp
@@ -3,7 +3,12 @@
 namespace pomelo {
 
 service_outcomes &service_outcomes::operator+=(const service_outcomes &Other) {
-  StartedIndex = Other.StartedIndex;
+  if (Other.StartedIndex < StartedIndex)
+    return *this;
+  if (Other.StartedIndex > StartedIndex) {
+    *this = Other;
+    return *this;
+  }
   Requests += Other.Requests;
   NewRequests += Other.NewRequests;
   for (const auto &[Key, Outcomes] : Other.Targets) {
--- a/src/pomeloswitch/rollout/rollout_meter.hpp
+++ b/src/pomeloswitch/rollout/rollout_meter.hpp
@@ -30,6 +30,8 @@
   std::uint64_t NewRequests = 0;  //!< Sent to targets of the new version.
   std::map<route_and_target, target_outcomes> Targets;
 
+  //! Counts of an earlier roll-out are dropped: a thread may not have followed
+  //! the latest one yet.
   service_outcomes &operator+=(const service_outcomes &Other);
 };
 
