Roll-outs: a completion whose new targets are all gone is rolled back

The completion waited for hosts and keys only. With no new target left it reported completed, and the service had no targets although old ones ran.

--- a/src/pomeloswitch/rollout/rollout_coordinator.cpp
+++ b/src/pomeloswitch/rollout/rollout_coordinator.cpp
@@ -53,6 +53,21 @@
                               });
 }
 
+//! Whether the new version can take no requests while another one could.
+bool onlyOthersRemain(const std::string &Service, const rollout &Rollout,
+                      const cluster_state &State) {
+  bool Others = false;
+  for (const auto &[Id, Target] : State.targets()) {
+    if (Target.Service != Service || Target.Leaving ||
+        State.drainedByOperators(Target))
+      continue;
+    if (Target.Version == Rollout.Version)
+      return false;
+    Others |= Rollout.replaces(Target.Version);
+  }
+  return Others;
+}
+
 } // namespace
 
 void rollout_coordinator::startTerm() { Services.clear(); }
@@ -154,6 +169,10 @@
     const std::string &Service, const rollout &Rollout,
     const cluster_state &State, const lease_table &Leases, progress &Progress,
     mono_time Now) {
+  if (onlyOthersRemain(Service, Rollout, State))
+    return makeChange(
+        Service, Rollout,
+        {rollout_stage::RolledBack, 0, "the new version has no targets left"});
   if (Progress.ConfirmedIndex != Rollout.ChangedIndex) {
     Progress.ConfirmedAt.reset();
     Progress.ConfirmedIndex = Rollout.ChangedIndex;
