--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -353,7 +353,7 @@
   if (State.rollouts().empty() || Now - RolloutsAt < RolloutInterval)
     return;
   RolloutsAt = Now;
-  for (wire::command &Command : Rollouts.step(State, Leases, Now))
+  for (wire::command &Command : Rollouts.step(State, Leases, Now, unixNowMs()))
     proposeChange(std::move(Command),
                   [](const apply_result &, std::uint64_t) {});
 }
--- a/src/pomeloswitch/rollout/rollout_coordinator.cpp
+++ b/src/pomeloswitch/rollout/rollout_coordinator.cpp
@@ -88,11 +88,12 @@
 
 std::vector<wire::command> rollout_coordinator::step(const cluster_state &State,
                                                      const lease_table &Leases,
-                                                     mono_time Now) {
+                                                     mono_time Now,
+                                                     std::uint64_t UnixMs) {
   std::vector<wire::command> Commands;
   for (const auto &[Service, Rollout] : State.rollouts())
     if (!Rollout.ended())
-      if (auto Command = stepOf(Service, Rollout, State, Leases, Now))
+      if (auto Command = stepOf(Service, Rollout, State, Leases, Now, UnixMs))
         Commands.push_back(std::move(*Command));
   std::erase_if(Services, [&State](const auto &Entry) {
     const rollout *Rollout = State.rollouts().find(Entry.first);
@@ -104,12 +105,13 @@
 std::optional<wire::command>
 rollout_coordinator::stepOf(const std::string &Service, const rollout &Rollout,
                             const cluster_state &State,
-                            const lease_table &Leases, mono_time Now) {
+                            const lease_table &Leases, mono_time Now,
+                            std::uint64_t UnixMs) {
   progress &Progress = Services[Service];
   if (Progress.StartedIndex != Rollout.StartedIndex)
     Progress = {};
   if (Progress.SeenAt == mono_time())
-    begin(Rollout, State, Progress, Now);
+    begin(Rollout, std::max(State.timeMs(), UnixMs), Progress, Now);
   auto Command = Rollout.Stage == rollout_stage::Running
                      ? judge(Service, Rollout, State, Progress, Now)
                      : complete(Service, Rollout, State, Leases, Progress, Now);
@@ -122,15 +124,14 @@
   return Command;
 }
 
-//! The age comes from the log only once: the clocks of the leaders may jump.
-void rollout_coordinator::begin(const rollout &Rollout,
-                                const cluster_state &State, progress &Progress,
-                                mono_time Now) {
+//! Unix time is used only once: the clocks of the leaders may jump. The log's
+//! time alone does not suffice: a log without new entries gets no later time.
+void rollout_coordinator::begin(const rollout &Rollout, std::uint64_t UnixMs,
+                                progress &Progress, mono_time Now) {
   Progress.StartedIndex = Rollout.StartedIndex;
   Progress.SeenAt = Now;
-  Progress.AgeWhenSeen = milliseconds(State.timeMs() > Rollout.StartedMs
-                                          ? State.timeMs() - Rollout.StartedMs
-                                          : 0);
+  Progress.AgeWhenSeen =
+      milliseconds(UnixMs > Rollout.StartedMs ? UnixMs - Rollout.StartedMs : 0);
 }
 
 std::optional<wire::command>
--- a/src/pomeloswitch/rollout/rollout_coordinator.hpp
+++ b/src/pomeloswitch/rollout/rollout_coordinator.hpp
@@ -32,9 +32,12 @@
   //! Records the counts that a heartbeat contains. A later life of a host
   //! counts from 0; what its earlier lives have reported is kept.
   void recordHeartbeat(const wire::heartbeat &Heartbeat);
-  //! Returns the changes to propose now. Call at regular intervals.
-  [[nodiscard]] std::vector<wire::command>
-  step(const cluster_state &State, const lease_table &Leases, mono_time Now);
+  //! Returns the changes to propose now. Call at regular intervals. \p UnixMs
+  //! is the leader's clock at \p Now.
+  [[nodiscard]] std::vector<wire::command> step(const cluster_state &State,
+                                                const lease_table &Leases,
+                                                mono_time Now,
+                                                std::uint64_t UnixMs);
 
 private:
   //! A host and its incarnation.
@@ -59,8 +62,9 @@
   std::optional<wire::command> stepOf(const std::string &Service,
                                       const rollout &Rollout,
                                       const cluster_state &State,
-                                      const lease_table &Leases, mono_time Now);
-  static void begin(const rollout &Rollout, const cluster_state &State,
+                                      const lease_table &Leases, mono_time Now,
+                                      std::uint64_t UnixMs);
+  static void begin(const rollout &Rollout, std::uint64_t UnixMs,
                     progress &Progress, mono_time Now);
   std::optional<wire::command> judge(const std::string &Service,
                                      const rollout &Rollout,
--- a/tests/rollout/rollout_coordinator_test.cpp
+++ b/tests/rollout/rollout_coordinator_test.cpp
@@ -197,7 +197,7 @@
       send();
       hear();
       for (wire::command &Command :
-           Coordinator->step(Driven.State, Leases, Now)) {
+           Coordinator->step(Driven.State, Leases, Now, timeMs())) {
         Command.set_time_ms(timeMs());
         Driven.apply(Command);
       }
@@ -299,6 +299,10 @@
                    .Keyed = true,
                    .End = rollout_stage::RolledBack,
                    .NewTargetsLostInCompletion = true},
+        fleet_case{.Name = "another_leader_after_a_quiet_time",
+                   .End = rollout_stage::RolledBack,
+                   .LeaderChanges = {milliseconds(8000)},
+                   .NewTargetsLostAt = milliseconds(300)},
         fleet_case{.Name = "service_removed",
                    .End = rollout_stage::RolledBack,
                    .ServiceRemovedAt = milliseconds(3000)}),
