--- a/src/pomeloswitch/rollout/rollout_judge.cpp
+++ b/src/pomeloswitch/rollout/rollout_judge.cpp
@@ -25,6 +25,9 @@
 //! A raised share is held for at least this long: shorter than a period, the
 //! evidence at the share would be missing.
 constexpr milliseconds MinStep = 2 * rollout_judge::PeriodLength;
+//! A judge that takes over decides at the time limit only after this long: the
+//! hosts have to find the new leader and report first.
+constexpr milliseconds TakeOverTime = 2 * rollout_judge::PeriodLength;
 //! Part of the recent request rate that is expected to go on.
 constexpr double ForecastPart = 0.7;
 
@@ -39,13 +42,15 @@
 rollout_judge::rollout_judge(rollout_terms Terms, double ShareInForce,
                              comparison_limits Limits)
     : Terms(Terms), Limits(Limits), Comparison(Limits), StepComparison(Limits),
-      Began(ShareInForce > 0) {
+      Began(ShareInForce > 0), TakenOver(ShareInForce > 0) {
   Verdict.Share = ShareInForce;
 }
 
 rollout_verdict rollout_judge::step(const rollout_observation &Observation) {
   if (Verdict.Stage != rollout_stage::Running)
     return Verdict;
+  if (!FirstStepAt)
+    FirstStepAt = Observation.Elapsed;
   if (!Began)
     begin(firstShare(Observation), "the roll-out has begun", Observation);
   if (Observation.Elapsed - PeriodEndedAt >= PeriodLength) {
@@ -99,6 +104,8 @@
   if (Verdict.Stage != rollout_stage::Running ||
       Observation.Elapsed + Terms.CompletionTime < Terms.Duration)
     return;
+  if (TakenOver && Observation.Elapsed - *FirstStepAt < TakeOverTime)
+    return;
   const comparison_result Result = Comparison.lateResult();
   if (Result.Quality == version_quality::Good)
     return finish(rollout_stage::Completing,
--- a/src/pomeloswitch/rollout/rollout_judge.hpp
+++ b/src/pomeloswitch/rollout/rollout_judge.hpp
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -80,6 +81,8 @@
   std::chrono::milliseconds PeriodEndedAt{0};
   std::chrono::milliseconds StepBeganAt{0};
   bool Began = false;
+  bool TakenOver = false; //!< From the judge of an earlier leader.
+  std::optional<std::chrono::milliseconds> FirstStepAt;
 };
 
 } // namespace pomelo
