Roll-outs: with a long completion the share still rises in steps

The first share was held for two fifths of the duration. With a long completion the time limit came first and the share went from some percent to all at once, so a version that is bad under load only was completed. The first step now ends in time for the raised shares, and its share is divided by the time for which it can be held, so that the evidence suffices by then.

--- a/src/pomeloswitch/rollout/rollout_judge.cpp
+++ b/src/pomeloswitch/rollout/rollout_judge.cpp
@@ -15,7 +15,8 @@
 //! From a bad response to the last request that a host sends by the old share:
 //! reports, decision, commit and delivery.
 constexpr milliseconds RollbackDelay{1200};
-//! The first share is held for at least this part of the duration.
+//! The first share is held for at least this part of the duration, or for less
+//! if the completion takes long.
 constexpr double FirstStepPart = 0.4;
 //! Part of the budget that the first share uses until the last moment.
 constexpr double FirstStepBudget = 0.5;
@@ -82,13 +83,19 @@
   return false;
 }
 
+//! Leaves time for the raised shares: a version may be bad under load only.
+std::chrono::duration<double> rollout_judge::firstStepEnd() const {
+  const seconds_real ByPart = FirstStepPart * seconds_real(Terms.Duration);
+  const seconds_real Latest =
+      Terms.Duration - Terms.CompletionTime - RaisedShares.size() * MinStep;
+  return std::min(ByPart, Latest);
+}
+
 //! Goes on to the next share, or completes the roll-out.
 void rollout_judge::raise(const rollout_observation &Observation,
                           const comparison_result &Result) {
   const milliseconds Held = Observation.Elapsed - StepBeganAt;
-  const bool FirstStepEnded = seconds_real(Observation.Elapsed) >=
-                              FirstStepPart * seconds_real(Terms.Duration);
-  if (Held < MinStep || !FirstStepEnded)
+  if (Held < MinStep || seconds_real(Observation.Elapsed) < firstStepEnd())
     return;
   const std::string Evidence = "no worse than the old one: " + describe(Result);
   if (Verdict.Share >= 1)
@@ -153,8 +160,12 @@
   const double Expected =
       requestRate(Observation) * seconds_real(Terms.Duration).count();
   const double BySlack = Expected > 0 ? Terms.Exposure.Slack / Expected : 0;
-  return std::clamp(FirstStepBudget * (ByShare + BySlack), MinFirstShare,
-                    MaxFirstShare);
+  // It is held until the last moment only, not for the whole duration.
+  const seconds_real Held =
+      std::max(Terms.Duration - Terms.CompletionTime, Terms.Duration / 2);
+  const double PartHeld = Held / seconds_real(Terms.Duration);
+  return std::clamp(FirstStepBudget * (ByShare + BySlack) / PartHeld,
+                    MinFirstShare, MaxFirstShare);
 }
 
 //! Whether the share can be held for a step and still be taken back within the
--- a/src/pomeloswitch/rollout/rollout_judge.hpp
+++ b/src/pomeloswitch/rollout/rollout_judge.hpp
@@ -68,6 +68,7 @@
                                 const rollout_observation &Observation) const;
   void raise(const rollout_observation &Observation,
              const comparison_result &Result);
+  [[nodiscard]] std::chrono::duration<double> firstStepEnd() const;
   void endInTime(const rollout_observation &Observation);
   void begin(double Share, std::string Reason,
              const rollout_observation &Observation);
--- a/tests/rollout/rollout_judge_test.cpp
+++ b/tests/rollout/rollout_judge_test.cpp
@@ -38,6 +38,7 @@
   //! Part of the targets of each version that fail half of the requests.
   double GreyTargets = 0;
   bool NewTargetsCold = false; //!< For the first 3 s, which are not counted.
+  milliseconds CompletionTime{3000};
 };
 
 void PrintTo(const rollout_case &Case, std::ostream *Out) { *Out << Case.Name; }
@@ -55,7 +56,8 @@
 class rollout_play {
 public:
   rollout_play(const rollout_case &Case, unsigned Seed)
-      : Case(Case), Random(Seed), Judge({Case.Duration, seconds(3), {}}, 0) {
+      : Case(Case), Random(Seed),
+        Judge({Case.Duration, Case.CompletionTime, {}}, 0) {
     for (unsigned Route = 0; Route < Case.RequestsPerSecond.size(); ++Route)
       for (unsigned Target = 0; Target < 2 * TargetsOfVersion; ++Target)
         Evidence.push_back({fmt::format("route-{}", Route),
@@ -234,6 +236,14 @@
         rollout_case{.Name = "slower_later",
                      .New = slower(4, 8),
                      .End = rollout_stage::RolledBack},
+        rollout_case{.Name = "good_with_a_long_completion",
+                     .Duration = seconds(12),
+                     .CompletionTime = milliseconds(6500)},
+        rollout_case{.Name = "bad_under_load_with_a_long_completion",
+                     .New = failingUnderLoad,
+                     .End = rollout_stage::RolledBack,
+                     .Duration = seconds(12),
+                     .CompletionTime = milliseconds(6500)},
         rollout_case{.Name = "too_few_requests",
                      .End = rollout_stage::RolledBack,
                      .RequestsPerSecond = {1}},
