Roll-outs: an order resent after a short roll-out starts no second one

An order is resent for up to 4 s if its acknowledgement is lost. A roll-out with a shorter time limit had ended by then and was started again.

--- a/src/pomeloswitch/state/rollout_table.cpp
+++ b/src/pomeloswitch/state/rollout_table.cpp
@@ -14,6 +14,10 @@
 constexpr std::array<std::string_view, 4> StageNames{
     "running", "completing", "completed", "rolled_back"};
 
+//! Operators resend an order that was not acknowledged for 4 s. The rest is for
+//! clocks that differ and for the commit.
+constexpr std::uint64_t ResendTimeMs = 6000;
+
 void checkOrder(const wire::start_rollout &Order) {
   if (Order.version().empty() || Order.version().size() > MaxVersionBytes)
     throw pomelo_error(
@@ -29,7 +33,7 @@
   if (Latest.Version != Order.version())
     return false;
   return !Latest.ended() || Latest.Stage == rollout_stage::Completed ||
-         NowMs < Latest.StartedMs + Latest.DurationMs;
+         NowMs < Latest.StartedMs + std::max(Latest.DurationMs, ResendTimeMs);
 }
 
 //! Returns the roll-out of \p Version that follows \p Latest. What this one
--- a/tests/rollout/rollout_targets_test.cpp
+++ b/tests/rollout/rollout_targets_test.cpp
@@ -150,6 +150,44 @@
                                  rollout_stage::Completing}),
     [](const auto &Info) { return Info.param.Name; });
 
+struct resend_case {
+  std::string Name;
+  std::uint64_t DurationMs;
+  std::uint64_t ResentAfterMs;
+  bool StartsAgain;
+};
+
+void PrintTo(const resend_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class resent_order : public testing::TestWithParam<resend_case> {};
+
+// Guards against a second roll-out by an order that was resent because its
+// acknowledgement was lost, after the first one was rolled back.
+TEST_P(resent_order, starts_again_only_if_it_is_a_new_one) {
+  test_cluster Driven;
+  Driven.setInventory(testInventory(8));
+  wire::command Command;
+  Command.set_time_ms(1'000'000);
+  Command.mutable_start_rollout()->set_service("archive");
+  Command.mutable_start_rollout()->set_version("v2");
+  Command.mutable_start_rollout()->set_duration_ms(GetParam().DurationMs);
+  Driven.apply(Command);
+  const std::uint64_t StartedIndex = latestOf(Driven.State).StartedIndex;
+  advance(Driven, RolledBack, 0);
+  Command.set_time_ms(Command.time_ms() + GetParam().ResentAfterMs);
+  ASSERT_TRUE(Driven.apply(Command).accepted());
+  EXPECT_EQ(latestOf(Driven.State).StartedIndex != StartedIndex,
+            GetParam().StartsAgain);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, resent_order,
+    testing::Values(resend_case{"within_the_limit", 12000, 11900, false},
+                    resend_case{"after_the_limit", 12000, 12100, true},
+                    resend_case{"of_a_short_roll_out", 1000, 3900, false},
+                    resend_case{"long_after_a_short_one", 1000, 9000, true}),
+    [](const auto &Info) { return Info.param.Name; });
+
 std::vector<std::string> inUse(const cluster_state &State) {
   const name_set HeldBack = heldBackTargets(State);
   std::vector<std::string> Ids;
