Roll-outs: a lost connection counts against the version

The loss was recorded in the target's statistics first, which makes the target suspected of being cold for 4 s, and cold targets do not count. So no lost connection ever counted, and a version that loses connections was good.

--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -75,8 +75,8 @@
   void recordNotice(const slot_owner &Owner, const target_dispatch &Dispatch);
   void recordAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
                      std::chrono::steady_clock::time_point SentAt);
-  void recordForRollout(const routing_target &Target, send_outcome End,
-                        std::chrono::nanoseconds Latency);
+  void recordForRollout(const routing_target &Target, bool Cold,
+                        send_outcome End, std::chrono::nanoseconds Latency);
   [[nodiscard]] bool mayEndByPlan(const routing_target &Target) const;
   void clearSuspicion();
   boost::asio::awaitable<void> handleConnectionLoss(routing_target_ptr Target);
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -134,7 +134,8 @@
 
 //! Counts the request for the roll-out of its service, if one is under way.
 //! Responses of cold targets say nothing about their version.
-void exchange::recordForRollout(const routing_target &Target, send_outcome End,
+void exchange::recordForRollout(const routing_target &Target, bool Cold,
+                                send_outcome End,
                                 std::chrono::nanoseconds Latency) {
   const routing_service *Service = Context.View->findService(Plan.Service);
   if (!Service || !Service->Split)
@@ -143,8 +144,6 @@
   Attempt.Route = Plan.Route.Name;
   Attempt.TargetId = Target.Member.TargetId;
   Attempt.NewVersion = Target.Member.Version == Service->Split->Version;
-  const bool Cold = Target.Member.Cold || Context.Sending.Statistics.mayBeCold(
-                                              Target, steady_clock::now());
   Attempt.Failed =
       !Cold && (End == send_outcome::Failed || End == send_outcome::Lost ||
                 End == send_outcome::Silent);
@@ -164,12 +163,16 @@
                             !CallerDisconnected);
   const auto Now = steady_clock::now();
   const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
+  // Taken before the outcome is recorded: a lost connection makes the target
+  // suspected of being cold, which must not hide that very loss.
+  const bool Cold = Owner.Target->Member.Cold ||
+                    Context.Sending.Statistics.mayBeCold(*Owner.Target, Now);
   Context.Sending.Statistics.recordOutcome(*Owner.Target, End, Now - SentAt,
                                            Now);
   if (End == send_outcome::Answered || End == send_outcome::Shed)
     Context.ConnectionLosses.answered(Owner.Target->Member, SentAt);
   if (LastProgress != attempt_progress::NothingSent)
-    recordForRollout(*Owner.Target, End, Now - SentAt);
+    recordForRollout(*Owner.Target, Cold, End, Now - SentAt);
   boost::json::object Entry{{"target", Owner.Target->Member.TargetId},
                             {"sent_ms", millisecondsOf(SentAt - StartedAt)},
                             {"took_ms", millisecondsOf(Now - SentAt)},
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/post.hpp>
 
 #include <functional>
+#include <future>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -124,6 +125,13 @@
       });
     });
   }
+  //! What was counted for roll-outs up to now.
+  outcomes_by_service rolloutCounts() {
+    std::promise<outcomes_by_service> Counts;
+    boost::asio::post(
+        Io, [this, &Counts] { Counts.set_value(Context.Rollouts.outcomes()); });
+    return Counts.get_future().get();
+  }
   //! As a host that has not had a lease since its start.
   void forgetLease() { RoutingLease.forget(); }
   void regainLease() {
