--- a/src/pomeloswitch/rollout/rollout_coordinator.cpp
+++ b/src/pomeloswitch/rollout/rollout_coordinator.cpp
@@ -53,6 +53,21 @@
                               });
 }
 
+//! Whether the new version can take no requests while another one could.
+bool onlyOthersRemain(const std::string &Service, const rollout &Rollout,
+                      const cluster_state &State) {
+  bool Others = false;
+  for (const auto &[Id, Target] : State.targets()) {
+    if (Target.Service != Service || Target.Leaving ||
+        State.drainedByOperators(Target))
+      continue;
+    if (Target.Version == Rollout.Version)
+      return false;
+    Others |= Rollout.replaces(Target.Version);
+  }
+  return Others;
+}
+
 } // namespace
 
 void rollout_coordinator::startTerm() { Services.clear(); }
@@ -73,11 +88,12 @@
 
 std::vector<wire::command> rollout_coordinator::step(const cluster_state &State,
                                                      const lease_table &Leases,
-                                                     mono_time Now) {
+                                                     mono_time Now,
+                                                     std::uint64_t UnixMs) {
   std::vector<wire::command> Commands;
   for (const auto &[Service, Rollout] : State.rollouts())
     if (!Rollout.ended())
-      if (auto Command = stepOf(Service, Rollout, State, Leases, Now))
+      if (auto Command = stepOf(Service, Rollout, State, Leases, Now, UnixMs))
         Commands.push_back(std::move(*Command));
   std::erase_if(Services, [&State](const auto &Entry) {
     const rollout *Rollout = State.rollouts().find(Entry.first);
@@ -89,12 +105,13 @@
 std::optional<wire::command>
 rollout_coordinator::stepOf(const std::string &Service, const rollout &Rollout,
                             const cluster_state &State,
-                            const lease_table &Leases, mono_time Now) {
+                            const lease_table &Leases, mono_time Now,
+                            std::uint64_t UnixMs) {
   progress &Progress = Services[Service];
   if (Progress.StartedIndex != Rollout.StartedIndex)
     Progress = {};
   if (Progress.SeenAt == mono_time())
-    begin(Rollout, State, Progress, Now);
+    begin(Rollout, std::max(State.timeMs(), UnixMs), Progress, Now);
   auto Command = Rollout.Stage == rollout_stage::Running
                      ? judge(Service, Rollout, State, Progress, Now)
                      : complete(Service, Rollout, State, Leases, Progress, Now);
@@ -107,15 +124,14 @@
   return Command;
 }
 
-//! The age comes from the log only once: the clocks of the leaders may jump.
-void rollout_coordinator::begin(const rollout &Rollout,
-                                const cluster_state &State, progress &Progress,
-                                mono_time Now) {
+//! Unix time is used only once: the clocks of the leaders may jump. The log's
+//! time alone does not suffice: a log without new entries gets no later time.
+void rollout_coordinator::begin(const rollout &Rollout, std::uint64_t UnixMs,
+                                progress &Progress, mono_time Now) {
   Progress.StartedIndex = Rollout.StartedIndex;
   Progress.SeenAt = Now;
-  Progress.AgeWhenSeen = milliseconds(State.timeMs() > Rollout.StartedMs
-                                          ? State.timeMs() - Rollout.StartedMs
-                                          : 0);
+  Progress.AgeWhenSeen =
+      milliseconds(UnixMs > Rollout.StartedMs ? UnixMs - Rollout.StartedMs : 0);
 }
 
 std::optional<wire::command>
@@ -154,6 +170,10 @@
     const std::string &Service, const rollout &Rollout,
     const cluster_state &State, const lease_table &Leases, progress &Progress,
     mono_time Now) {
+  if (onlyOthersRemain(Service, Rollout, State))
+    return makeChange(
+        Service, Rollout,
+        {rollout_stage::RolledBack, 0, "the new version has no targets left"});
   if (Progress.ConfirmedIndex != Rollout.ChangedIndex) {
     Progress.ConfirmedAt.reset();
     Progress.ConfirmedIndex = Rollout.ChangedIndex;
--- a/src/pomeloswitch/rollout/rollout_judge.hpp
+++ b/src/pomeloswitch/rollout/rollout_judge.hpp
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -67,6 +68,7 @@
                                 const rollout_observation &Observation) const;
   void raise(const rollout_observation &Observation,
              const comparison_result &Result);
+  [[nodiscard]] std::chrono::duration<double> firstStepEnd() const;
   void endInTime(const rollout_observation &Observation);
   void begin(double Share, std::string Reason,
              const rollout_observation &Observation);
@@ -80,6 +82,8 @@
   std::chrono::milliseconds PeriodEndedAt{0};
   std::chrono::milliseconds StepBeganAt{0};
   bool Began = false;
+  bool TakenOver = false; //!< From the judge of an earlier leader.
+  std::optional<std::chrono::milliseconds> FirstStepAt;
 };
 
 } // namespace pomelo
