Targets: during a roll-out the queue is estimated by both versions

Fault: the expected wait of a request behind others counted only the targets of one version. A request that is not at the head of the queue had not drawn a version and counted as one for the old: at the end of a roll-out the one target left of the old version stood for the whole service, and requests were refused at once although the new version would have served them in time.

Change: the version is drawn before the estimate, and both versions' targets count as capacity for the requests ahead.

--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -105,7 +105,7 @@
     }
   refuseIfUnwanted(View, Now);
   if (IsNew)
-    refuseIfQueueTooLong(View, Now);
+    refuseIfQueueTooLong(View, Authoritative, Now);
   if (Now + PollInterval >= WaitDeadline)
     throw pomelo_error(error_kind::NoTarget,
                        "the service has no target that accepts new work");
@@ -173,10 +173,10 @@
                    Service.Split->Share;
 }
 
-bool target_selection::ofDrawnVersion(const routing_service &Service,
-                                      const routing_target &Target) const {
+bool target_selection::ofVersion(const routing_service &Service,
+                                 const routing_target &Target, bool New) {
   return !Service.Split ||
-         (Target.Member.Version == Service.Split->Version) == ToNewVersion;
+         (Target.Member.Version == Service.Split->Version) == New;
 }
 
 routing_target_ptr target_selection::chooseAmong(const routing_view &View,
@@ -189,7 +189,8 @@
     const bool Near = Target.Member.FailureDomain == State.FailureDomain;
     return State.Statistics.score(Target, Now) + (Near ? 0 : CrossDomainCost);
   };
-  const target_predicates Predicates = makePredicates(View, Service, Now);
+  const target_predicates Predicates =
+      makePredicates(View, Service, ToNewVersion, Now);
   const std::size_t Size = subsetSizeOf(View, Service, Now);
   if (Size >= Service.Targets.size())
     return chooseBest(Service, Request.ExcludedTargets, Predicates.HasRoom,
@@ -206,21 +207,24 @@
                     Service.Targets.size(), View.EntryHosts);
 }
 
-target_predicates target_selection::makePredicates(
-    const routing_view &View, const routing_service &Service, time_point Now) {
-  return {[this, &Service, Now](const routing_target &Target) {
-            return ofDrawnVersion(Service, Target) &&
-                   State.Notices.of(Target).wantsRequests(Now) &&
-                   State.Statistics.usable(Target, Now);
-          },
-          [this, Now](const routing_target &Target) {
-            return !isCold(Target, Now);
-          },
-          [this, &View, &Service, Now](const routing_target &Target) {
-            return ofDrawnVersion(Service, Target) &&
-                   canTakeRequest(Target, Now) &&
-                   admitIfCold(View, Service, Target, false, Now);
-          }};
+target_predicates
+target_selection::makePredicates(const routing_view &View,
+                                 const routing_service &Service,
+                                 bool NewVersion, time_point Now) {
+  return {
+      [this, &Service, NewVersion, Now](const routing_target &Target) {
+        return ofVersion(Service, Target, NewVersion) &&
+               State.Notices.of(Target).wantsRequests(Now) &&
+               State.Statistics.usable(Target, Now);
+      },
+      [this, Now](const routing_target &Target) {
+        return !isCold(Target, Now);
+      },
+      [this, &View, &Service, NewVersion, Now](const routing_target &Target) {
+        return ofVersion(Service, Target, NewVersion) &&
+               canTakeRequest(Target, Now) &&
+               admitIfCold(View, Service, Target, false, Now);
+      }};
 }
 
 bool target_selection::canTakeRequest(const routing_target &Target,
@@ -278,28 +282,45 @@
       MinRetryAfter + std::chrono::duration_cast<milliseconds>(Spread));
 }
 
+//! Adds what the targets of one version give back each second, and when the
+//! first of them may be sent to.
+void target_selection::addCapacity(const routing_view &View,
+                                   const routing_service &Service,
+                                   bool NewVersion, time_point Now,
+                                   freed_capacity &Capacity) {
+  const std::size_t Size = subsetSizeOf(View, Service, Now);
+  for (const routing_target_ptr &Target :
+       subsetMembers(Service, View.RingPosition, Size, Request.ExcludedTargets,
+                     makePredicates(View, Service, NewVersion, Now))) {
+    Capacity.PerSecond += State.Statistics.throughput(*Target);
+    // A request for the old version never goes to the new one.
+    if (ToNewVersion || !NewVersion)
+      Capacity.Earliest = std::min(
+          Capacity.Earliest, State.Statistics.expectedWait(*Target, 0, Now));
+  }
+}
+
 //! Refuses a new request immediately, with a retry time, if it would wait
 //! beyond its deadline for waiting: for the requests ahead of it, or since its
-//! targets get none before.
+//! targets get none before. During a roll-out the requests ahead go to both
+//! versions.
 void target_selection::refuseIfQueueTooLong(const routing_view &View,
+                                            bool Authoritative,
                                             time_point Now) {
   const std::size_t Ahead = Position->requestsAhead();
   const routing_service *Service = View.findService(Request.Service);
   if (!Service)
     return;
-  double PerSecond = 0;
-  auto Earliest = std::chrono::duration<double>::max();
-  for (const routing_target_ptr &Target : subsetMembers(
-           *Service, View.RingPosition, subsetSizeOf(View, *Service, Now),
-           Request.ExcludedTargets, makePredicates(View, *Service, Now))) {
-    PerSecond += State.Statistics.throughput(*Target);
-    Earliest =
-        std::min(Earliest, State.Statistics.expectedWait(*Target, 0, Now));
-  }
-  if (PerSecond <= 0)
+  drawVersion(*Service, Authoritative);
+  freed_capacity Capacity;
+  addCapacity(View, *Service, false, Now, Capacity);
+  if (Service->Split && Service->Split->Share > 0)
+    addCapacity(View, *Service, true, Now, Capacity);
+  if (Capacity.Earliest == freed_capacity().Earliest || Capacity.PerSecond <= 0)
     return;
-  const auto Expected = Earliest + std::chrono::duration<double>(
-                                       static_cast<double>(Ahead) / PerSecond);
+  const auto Expected =
+      Capacity.Earliest + std::chrono::duration<double>(
+                              static_cast<double>(Ahead) / Capacity.PerSecond);
   if (Now + Expected <= WaitDeadline)
     return;
   // Those who are refused together return one after the other while the queue
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -54,6 +54,14 @@
   static constexpr std::chrono::milliseconds PollInterval{10};
 
 private:
+  //! What the targets of a service free for waiting requests.
+  struct freed_capacity {
+    double PerSecond = 0;
+    //! Until one may be sent to, requests ahead apart.
+    std::chrono::duration<double> Earliest =
+        std::chrono::duration<double>::max();
+  };
+
   std::optional<slot_owner> decideByKey(const routing_view &View,
                                         bool Authoritative, time_point Now);
   std::optional<slot_owner> decideByLoad(const routing_view &View,
@@ -69,6 +77,7 @@
   //! The result refers to the arguments.
   [[nodiscard]] target_predicates makePredicates(const routing_view &View,
                                                  const routing_service &Service,
+                                                 bool NewVersion,
                                                  time_point Now);
   [[nodiscard]] bool canTakeRequest(const routing_target &Target,
                                     time_point Now) const;
@@ -76,13 +85,16 @@
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
   void drawVersion(const routing_service &Service, bool Authoritative);
-  [[nodiscard]] bool ofDrawnVersion(const routing_service &Service,
-                                    const routing_target &Target) const;
+  [[nodiscard]] static bool ofVersion(const routing_service &Service,
+                                      const routing_target &Target, bool New);
   void enqueue(const std::string &QueueName);
   void refuseIfUnwanted(const routing_view &View, time_point Now) const;
   void refuseBeyondShare(const routing_target &Owner, time_point Now);
   void refuseIfWaitTooLong(const routing_target &Target, time_point Now) const;
-  void refuseIfQueueTooLong(const routing_view &View, time_point Now);
+  void refuseIfQueueTooLong(const routing_view &View, bool Authoritative,
+                            time_point Now);
+  void addCapacity(const routing_view &View, const routing_service &Service,
+                   bool NewVersion, time_point Now, freed_capacity &Capacity);
   [[noreturn]] static void refuseKey(bool Authoritative, bool Owned);
 
   send_state &State;
--- /dev/null
+++ b/tests/sending/subset_selection_test.cpp
@@ -0,0 +1,123 @@
+#include "pomeloswitch/sending/target_selection.hpp"
+
+#include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/routing/target_ring.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pomelo {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using time_point = target_selection::time_point;
+
+constexpr time_point Start{std::chrono::hours(1)};
+constexpr std::size_t Targets = 40;
+constexpr std::size_t Hosts = 40;
+//! Size of a host's subset, with few requests.
+constexpr std::size_t Size = 8;
+
+//! One of 40 entry hosts that use 8 of the 40 targets of a service each.
+class subset_selection : public testing::Test {
+protected:
+  subset_selection() {
+    Service.Name = "any";
+    for (std::size_t Number = 0; Number < Targets; ++Number) {
+      auto Target = std::make_shared<routing_target>();
+      Target->Member.TargetId = fmt::format("t{}", Number);
+      Target->Member.Incarnation = 1;
+      Target->Member.FailureDomain = "d";
+      Target->Member.Slots = 1;
+      Target->Member.Version = "old";
+      Service.Targets.push_back(Target);
+    }
+    Service.Ring = makeTargetRing(Service.Targets);
+    View.EntryHosts = Hosts;
+  }
+
+  //! The target at \p Place of this host's subset, or behind it.
+  routing_target &at(std::size_t Place) {
+    // The fixture owns the targets, which only views hold as constants.
+    return const_cast<routing_target &>(*Service.Ring[Place]);
+  }
+
+  //! Gives the target one request, which fills it; those before it took
+  //! \p Latency.
+  void fill(std::size_t Place, milliseconds Latency) {
+    const routing_target &Target = at(Place);
+    State.Statistics.recordSend(Target, Start - Latency);
+    State.Statistics.recordOutcome(Target, send_outcome::Answered, Latency,
+                                   Start);
+    State.Statistics.recordSend(Target, Start);
+  }
+
+  void publish() { View.Services["any"] = Service; }
+
+  std::unique_ptr<target_selection> request(milliseconds LatencyGoal) {
+    pending_request Pending;
+    Pending.Service = "any";
+    Pending.Deadline = Start + seconds(2);
+    Pending.LatencyGoal = LatencyGoal;
+    return std::make_unique<target_selection>(State, Pending, Start);
+  }
+
+  //! Whether one more request is refused at once behind \p Ahead others.
+  bool refusedBehind(std::size_t Ahead) {
+    std::vector<std::unique_ptr<target_selection>> Waiting;
+    for (std::size_t Number = 0; Number < Ahead; ++Number) {
+      Waiting.push_back(request(milliseconds(1500)));
+      EXPECT_FALSE(Waiting.back()->decide(View, true, Start)) << Number;
+    }
+    try {
+      EXPECT_FALSE(request(milliseconds(500))->decide(View, true, Start));
+      return false;
+    } catch (const pomelo_error &Refusal) {
+      EXPECT_EQ(Refusal.kind(), error_kind::Overloaded);
+      return true;
+    }
+  }
+
+  send_state State{"d"};
+  routing_view View;
+  routing_service Service;
+};
+
+struct rollout_case {
+  std::string Name;
+  double Share;
+  bool Refused;
+};
+
+void PrintTo(const rollout_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class queue_in_a_rollout : public subset_selection,
+                           public testing::WithParamInterface<rollout_case> {};
+
+// Guards against refusals by the capacity of the last targets of the old
+// version while the requests ahead go to the new one.
+TEST_P(queue_in_a_rollout, is_served_by_both_versions) {
+  for (std::size_t Place = 0; Place < Targets; ++Place) {
+    if (Place > 0)
+      at(Place).Member.Version = "new";
+    fill(Place, milliseconds(200));
+  }
+  Service.Split = {7, "new", GetParam().Share};
+  publish();
+  EXPECT_EQ(refusedBehind(3), GetParam().Refused);
+}
+
+INSTANTIATE_TEST_SUITE_P(each_share, queue_in_a_rollout,
+                         testing::Values(rollout_case{"not_begun", 0, true},
+                                         rollout_case{"half", 0.5, false},
+                                         rollout_case{"all", 1, false}),
+                         [](const auto &Info) { return Info.param.Name; });
+
+} // namespace
+} // namespace pomelo
