Targets: the expected wait counts the targets that a full subset widens to

Fault: while its subset is full a host sends to twice as many targets, but the expected wait counted only the subset. With slow members, requests were refused at once that the targets behind them would have taken in time.

--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -283,12 +283,14 @@
 }
 
 //! Adds what the targets of one version give back each second, and when the
-//! first of them may be sent to.
+//! first of them may be sent to. These are as many as choose() may use while
+//! the subset is full.
 void target_selection::addCapacity(const routing_view &View,
                                    const routing_service &Service,
                                    bool NewVersion, time_point Now,
                                    freed_capacity &Capacity) {
-  const std::size_t Size = subsetSizeOf(View, Service, Now);
+  const std::size_t Size =
+      subset_limits().MaxWidening * subsetSizeOf(View, Service, Now);
   for (const routing_target_ptr &Target :
        subsetMembers(Service, View.RingPosition, Size, Request.ExcludedTargets,
                      makePredicates(View, Service, NewVersion, Now))) {
--- a/tests/sending/subset_selection_test.cpp
+++ b/tests/sending/subset_selection_test.cpp
@@ -89,6 +89,24 @@
   routing_service Service;
 };
 
+// Guards against refusals that count only the subset while the targets behind
+// it, which are used once the subset is full, free capacity in time.
+TEST_F(subset_selection, counts_the_targets_that_it_may_widen_to) {
+  for (std::size_t Place = 0; Place < 2 * Size; ++Place)
+    fill(Place, Place < Size ? seconds(2) : milliseconds(50));
+  publish();
+  EXPECT_FALSE(refusedBehind(4));
+}
+
+// Guards against waits that are estimated too short: nothing behind the widened
+// subset is used.
+TEST_F(subset_selection, does_not_count_the_targets_behind) {
+  for (std::size_t Place = 0; Place < 2 * Size; ++Place)
+    fill(Place, seconds(2));
+  publish();
+  EXPECT_TRUE(refusedBehind(4));
+}
+
 struct rollout_case {
   std::string Name;
   double Share;
