Targets: the hosts that use a cold target share its whole rate

Fault: each entry host kept one part in the number of hosts of a cold target's rate, but with subsets only a few hosts use the target. With 68 hosts of 19 requests/s, 105 targets and 4 cold requests/s, a new target got its first request after 17 s and 5 of 80 requests in 20 s.

Change: the rate is divided by the number of hosts whose subsets have the target, from the part of the ring that the host's own subset extends over. With few warm targets that is the whole ring, and the share is as before. A full subset that widens takes no cold targets behind it, since they count on their own hosts alone.

Test: cold_target_of_a_fleet (first request within 4 s, at least half of the rate, at most 1.5 times the rate and 8) fails without the change.

--- a/src/pomeloswitch/routing/target_subset.cpp
+++ b/src/pomeloswitch/routing/target_subset.cpp
@@ -8,10 +8,11 @@
 
 //! Calls \p Visit for each target of the ring that may get requests, until it
 //! returns false. Its second argument is the number of warm ones so far.
+//! Returns how many places of the ring were passed.
 template <typename function>
-void visitEligible(const routing_service &Service, double Position,
-                   std::span<const std::string> Excluded,
-                   const target_predicates &Targets, function Visit) {
+std::size_t visitEligible(const routing_service &Service, double Position,
+                          std::span<const std::string> Excluded,
+                          const target_predicates &Targets, function Visit) {
   const std::size_t Count = Service.Ring.size();
   const auto First =
       static_cast<std::size_t>(Position * static_cast<double>(Count));
@@ -23,8 +24,9 @@
       continue;
     Warm += Targets.Warm(*Target) ? 1 : 0;
     if (!Visit(Target, Warm))
-      return;
+      return Step + 1;
   }
+  return Count;
 }
 
 } // namespace
@@ -54,6 +56,19 @@
   return Members;
 }
 
+double subsetStretch(const routing_service &Service, double Position,
+                     std::size_t Size, std::span<const std::string> Excluded,
+                     const target_predicates &Targets) {
+  if (Service.Ring.empty())
+    return 1;
+  const std::size_t Places =
+      visitEligible(Service, Position, Excluded, Targets,
+                    [Size](const routing_target_ptr &, std::size_t Warm) {
+                      return Warm < Size;
+                    });
+  return static_cast<double>(Places) / static_cast<double>(Service.Ring.size());
+}
+
 routing_target_ptr
 chooseFromSubset(const routing_service &Service, double Position,
                  std::size_t Size, std::span<const std::string> Excluded,
@@ -62,7 +77,10 @@
   weighted_choice Choice(Random);
   visitEligible(Service, Position, Excluded, Targets,
                 [&](const routing_target_ptr &Target, std::size_t Warm) {
-                  if (Targets.HasRoom(*Target))
+                  // Cold targets behind the subset are left to other hosts:
+                  // see subsetStretch().
+                  if ((Warm < Size || Targets.Warm(*Target)) &&
+                      Targets.HasRoom(*Target))
                     Choice.offer(Target, Load(*Target));
                   const bool Found = Choice.best() != nullptr;
                   return Warm < (Found ? Size : Size * Limits.MaxWidening);
--- a/src/pomeloswitch/routing/target_subset.hpp
+++ b/src/pomeloswitch/routing/target_subset.hpp
@@ -49,9 +49,16 @@
               std::span<const std::string> Excluded,
               const target_predicates &Targets);
 
+//! Returns the part of the ring over which the subset extends, in (0, 1]. As
+//! the hosts are spread evenly over the ring, that is also about the part of
+//! the hosts whose subsets have a given cold target.
+double subsetStretch(const routing_service &Service, double Position,
+                     std::size_t Size, std::span<const std::string> Excluded,
+                     const target_predicates &Targets);
+
 //! Returns the target with the lowest load among the first \p Size eligible and
 //! warm ones of the ring from \p Position on, and the cold ones between them.
-//! If none of them has room, returns the first that has, among at most
+//! If none of them has room, returns the first warm one that has, among at most
 //! MaxWidening times as many; null if there is none.
 routing_target_ptr
 chooseFromSubset(const routing_service &Service, double Position,
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -192,6 +192,7 @@
   const target_predicates Predicates =
       makePredicates(View, Service, ToNewVersion, Now);
   const std::size_t Size = subsetSizeOf(View, Service, Now);
+  ColdShare.reset();
   if (Size >= Service.Targets.size())
     return chooseBest(Service, Request.ExcludedTargets, Predicates.HasRoom,
                       Load, State.Random);
@@ -239,6 +240,28 @@
   return Target.Member.Cold || State.Statistics.mayBeCold(Target, Now);
 }
 
+//! Returns the part of the requests to a cold target that this host may send:
+//! only the hosts that have the target in their subset share its rate.
+double target_selection::coldShareOf(const routing_view &View,
+                                     const routing_service &Service,
+                                     time_point Now) {
+  const auto Hosts = static_cast<double>(View.EntryHosts);
+  if (Service.Ring.empty())
+    return 1 / Hosts;
+  if (!ColdShare) {
+    const std::size_t Size = subsetSizeOf(View, Service, Now);
+    const double Users =
+        Size >= Service.Targets.size()
+            ? Hosts
+            : Hosts * subsetStretch(
+                          Service, View.RingPosition, Size,
+                          Request.ExcludedTargets,
+                          makePredicates(View, Service, ToNewVersion, Now));
+    ColdShare = 1 / std::max(1.0, Users);
+  }
+  return *ColdShare;
+}
+
 //! Limits the requests that all entry hosts together send to a cold target.
 //! Targets that are not cold are always admitted.
 bool target_selection::admitIfCold(const routing_view &View,
@@ -248,8 +271,8 @@
   if (!isCold(Target, Now) || Service.ColdRatePerSecond <= 0)
     return true;
   return State.ColdLimiter.admit(Target.Member.TargetId,
-                                 Service.ColdRatePerSecond /
-                                     static_cast<double>(View.EntryHosts),
+                                 Service.ColdRatePerSecond *
+                                     coldShareOf(View, Service, Now),
                                  Consume, Now);
 }
 
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -84,6 +84,9 @@
   [[nodiscard]] bool isCold(const routing_target &Target, time_point Now) const;
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
+  [[nodiscard]] double coldShareOf(const routing_view &View,
+                                   const routing_service &Service,
+                                   time_point Now);
   void drawVersion(const routing_service &Service, bool Authoritative);
   [[nodiscard]] static bool ofVersion(const routing_service &Service,
                                       const routing_target &Target, bool New);
@@ -106,6 +109,8 @@
   //! SplitIndex.
   bool ToNewVersion = false;
   std::uint64_t SplitIndex = 0;
+  //! See coldShareOf(); computed at most once for each choice.
+  std::optional<double> ColdShare;
   bool WithinShare = false; //!< Of the owner of the key.
   bool Bounded = false;     //!< The leader bounds what the owner gets.
   std::string Queue;
--- a/tests/sending/subset_selection_test.cpp
+++ b/tests/sending/subset_selection_test.cpp
@@ -27,9 +27,10 @@
 //! One of 40 entry hosts that use 8 of the 40 targets of a service each.
 class subset_selection : public testing::Test {
 protected:
-  subset_selection() {
+  explicit subset_selection(std::size_t TargetCount = Targets,
+                            std::size_t HostCount = Hosts) {
     Service.Name = "any";
-    for (std::size_t Number = 0; Number < Targets; ++Number) {
+    for (std::size_t Number = 0; Number < TargetCount; ++Number) {
       auto Target = std::make_shared<routing_target>();
       Target->Member.TargetId = fmt::format("t{}", Number);
       Target->Member.Incarnation = 1;
@@ -39,7 +40,7 @@
       Service.Targets.push_back(Target);
     }
     Service.Ring = makeTargetRing(Service.Targets);
-    View.EntryHosts = Hosts;
+    View.EntryHosts = HostCount;
   }
 
   //! The target at \p Place of this host's subset, or behind it.
@@ -137,5 +138,59 @@
                                          rollout_case{"all", 1, false}),
                          [](const auto &Info) { return Info.param.Name; });
 
+//! The load of docs/HARD-LOAD.md, section 3.2, for a service with one cold
+//! target.
+class cold_target_of_a_fleet : public subset_selection {
+protected:
+  static constexpr std::size_t FleetHosts = 68;
+  static constexpr std::size_t FleetTargets = 105;
+  static constexpr int RequestsPerSecond = 19; //!< Of each host.
+
+  cold_target_of_a_fleet() : subset_selection(FleetTargets, FleetHosts) {}
+
+  //! Sends one request of the host and records its answer.
+  //! Returns whether it went to the cold target.
+  static bool sendOne(send_state &Host, const routing_view &View,
+                      time_point Now) {
+    pending_request Pending;
+    Pending.Service = "any";
+    Pending.Deadline = Now + seconds(2);
+    target_selection Selection(Host, Pending, Now);
+    const auto Owner = Selection.decide(View, true, Now);
+    if (!Owner)
+      return false;
+    Host.Statistics.recordSend(*Owner->Target, Now);
+    Host.Statistics.recordOutcome(*Owner->Target, send_outcome::Answered,
+                                  milliseconds(50), Now);
+    return Owner->Target->Member.Cold;
+  }
+};
+
+// Guards against a new target that waits for its first request, and stays cold,
+// because the hosts that do not use it keep a share of its rate.
+TEST_F(cold_target_of_a_fleet, gets_its_whole_rate_from_the_hosts_that_use_it) {
+  constexpr double ColdRate = 4;
+  constexpr auto Period = seconds(20);
+  at(FleetTargets / 2).Member.Cold = true;
+  Service.ColdRatePerSecond = ColdRate;
+  publish();
+  std::vector<send_state> Fleet;
+  for (std::size_t Host = 0; Host < FleetHosts; ++Host)
+    Fleet.emplace_back("d", Host);
+  std::vector<time_point> ColdSends;
+  for (auto Now = Start; Now < Start + Period;
+       Now += milliseconds(1000 / RequestsPerSecond))
+    for (std::size_t Host = 0; Host < FleetHosts; ++Host) {
+      View.RingPosition = static_cast<double>(Host) / FleetHosts;
+      if (sendOne(Fleet[Host], View, Now))
+        ColdSends.push_back(Now);
+    }
+  ASSERT_FALSE(ColdSends.empty());
+  EXPECT_LE(ColdSends.front() - Start, seconds(4));
+  const double Expected = ColdRate * static_cast<double>(Period.count());
+  EXPECT_GE(static_cast<double>(ColdSends.size()), 0.5 * Expected);
+  EXPECT_LE(static_cast<double>(ColdSends.size()), 1.5 * Expected + 8);
+}
+
 } // namespace
 } // namespace pomelo
