Keys: a request chosen before a division is checked against the parts of its slot

Fault: before a request is sent, the slot by which its owner was chosen is looked up again by number. After a division the number names other keys. Slots that were granted by one command share a token, so the check passed for an owner that had lost the key meanwhile (which then rejected the request by its fencing token), and it failed for one that still had it.

Change: the choice keeps the number of slots of its table, and the check covers all parts of the slot.

--- a/src/pomeloswitch/routing/target_choice.cpp
+++ b/src/pomeloswitch/routing/target_choice.cpp
@@ -9,12 +9,27 @@
 
 constexpr double MaxJitterFactor = 1.3;
 
+//! Whether the slot is active with the token of \p Owner in \p Table, which may
+//! have been divided since. The token alone does not identify a slot: slots
+//! that were granted together share one.
+bool holdsAllParts(const slot_table &Table, const slot_owner &Owner) {
+  if (Owner.SlotCount == 0 || Table.size() % Owner.SlotCount != 0 ||
+      Owner.Slot >= Owner.SlotCount)
+    return false;
+  const std::size_t Parts = Table.size() / Owner.SlotCount;
+  const std::span Own = std::span(Table).subspan(Owner.Slot * Parts, Parts);
+  return std::all_of(Own.begin(), Own.end(), [&](const slot_ownership &Part) {
+    return Part.Token == Owner.Token && Part.Phase == slot_phase::Active;
+  });
+}
+
 } // namespace
 
 slot_owner findOwner(const routing_view &View, const routing_service &Service,
                      std::string_view Key) {
   slot_owner Owner;
-  Owner.Slot = slotOfKey(Key, static_cast<std::uint32_t>(Service.Slots->size()),
+  Owner.SlotCount = Service.Slots->size();
+  Owner.Slot = slotOfKey(Key, static_cast<std::uint32_t>(Owner.SlotCount),
                          Service.KeySpace);
   const slot_ownership &Slot = (*Service.Slots)[Owner.Slot];
   Owner.Token = Slot.Token;
@@ -35,10 +50,7 @@
   const routing_service *Service = View.findService(ServiceName);
   if (!Service || !Service->Slots)
     return Target->second->AcceptsNewWork;
-  if (Owner.Slot >= Service->Slots->size())
-    return false;
-  const slot_ownership &Slot = (*Service->Slots)[Owner.Slot];
-  return Slot.Token == Owner.Token && Slot.Phase == slot_phase::Active;
+  return holdsAllParts(*Service->Slots, Owner);
 }
 
 bool isExcluded(const routing_target &Target,
--- a/src/pomeloswitch/routing/target_choice.hpp
+++ b/src/pomeloswitch/routing/target_choice.hpp
@@ -20,6 +20,7 @@
   std::uint32_t Slot = 0;
   std::uint64_t Token = 0;
   routing_target_ptr Target; //!< Null while the slot has no active owner.
+  std::size_t SlotCount = 0; //!< Of the table that Slot is a number in.
 };
 
 //! Returns the slot of \p Key and its owner.
@@ -29,8 +30,8 @@
 
 //! Whether a request may still be sent to \p Owner, which was determined from
 //! an earlier view: the target has not restarted and, if the service is keyed,
-//! the slot is still active with the same token; otherwise the target must
-//! still accept new work.
+//! the slot, or each of the parts that it was divided into, is still active
+//! with the same token; otherwise the target must still accept new work.
 bool mayStillSend(const routing_view &View, std::string_view ServiceName,
                   const slot_owner &Owner);
 
--- a/tests/http/in_flight_table_test.cpp
+++ b/tests/http/in_flight_table_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <ostream>
+#include <set>
 
 namespace pomelo {
 namespace {
@@ -84,7 +85,7 @@
 
 TEST_P(chosen_owner, is_sent_to_only_while_the_slot_is_still_its_own) {
   const auto Earlier = viewOf(slot_phase::Active, 7);
-  const slot_owner Owner{0, 7, Earlier.Targets.at("t1")};
+  const slot_owner Owner{0, 7, Earlier.Targets.at("t1"), 1};
   EXPECT_EQ(mayStillSend(viewOf(GetParam().Phase, GetParam().Token), "archive",
                          Owner),
             GetParam().MaySend);
@@ -97,5 +98,45 @@
                     send_case{"granted_anew", slot_phase::Active, 8, false},
                     send_case{"unowned", slot_phase::Unowned, 7, false}));
 
+struct division_case {
+  std::string Name;
+  std::set<std::size_t> Revoked; //!< Of the four parts.
+  bool MaySend;
+};
+
+void PrintTo(const division_case &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class owner_of_a_divided_slot : public testing::TestWithParam<division_case> {};
+
+// Guards against a request that goes to a former owner of its key, or is held
+// up for a key of another, since after a division the number of its slot names
+// other keys.
+TEST_P(owner_of_a_divided_slot, is_sent_to_while_it_has_all_parts) {
+  auto View = viewOf(slot_phase::Active, 7);
+  // Two slots, granted to two targets by one command, were divided in two.
+  auto Table = std::make_shared<slot_table>(4, slot_ownership{});
+  for (std::size_t Part = 0; Part < Table->size(); ++Part)
+    (*Table)[Part] = {Part < 2 ? "t0" : "t1",
+                      7,
+                      GetParam().Revoked.contains(Part) ? slot_phase::Revoking
+                                                        : slot_phase::Active,
+                      10,
+                      1,
+                      true};
+  View.Services["archive"].Slots = Table;
+  const slot_owner Chosen{1, 7, View.Targets.at("t1"), 2};
+  EXPECT_EQ(mayStillSend(View, "archive", Chosen), GetParam().MaySend);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_part, owner_of_a_divided_slot,
+    testing::Values(division_case{"none_revoked", {}, true},
+                    division_case{"others_slot_revoked", {0, 1}, true},
+                    division_case{"first_part_revoked", {2}, false},
+                    division_case{"last_part_revoked", {3}, false}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo
