Ownership: load reports name the number of slots that they refer to

Fault: entry hosts report requests by slot number alone. Reports by the numbers of before a division were counted for the first slots of the divided table, for up to 4 s: the planner moved slots of the wrong keys, and owners were taken for overloaded, so that hosts refused their requests.

Change: reports carry the number of slots, and the leader divides the rate among the parts, or adds up parts that it does not know yet.

Tests: load_by_other_numbers, rows before_the_division, after_the_next, unrelated and out_of_range fail without the change. planner_test 177 passed; pomelo_entry builds, no integration test was run.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -278,20 +278,23 @@
   if (Latest == ReportedLoads)
     return;
   SpeedChanges.resize(Latest.size());
-  std::map<std::string, std::map<std::uint32_t, slot_rate>> Sums;
+  // Threads may follow a division of the slots at different times.
+  using numbering = std::pair<std::string, std::uint32_t>;
+  std::map<numbering, std::map<std::uint32_t, slot_rate>> Sums;
   for (std::size_t Thread = 0; Thread < Latest.size(); ++Thread) {
     if (!Latest[Thread])
       continue;
     for (const auto &[Service, Rates] : Latest[Thread]->Rates)
       for (const slot_rate &Rate : Rates)
-        addRate(Rate, Sums[Service][Rate.Slot]);
+        addRate(Rate, Sums[{Service, Rate.SlotCount}][Rate.Slot]);
     addSpeeds(SpeedChanges[Thread].take(Latest[Thread]->ResponseSeconds),
               Heartbeat);
   }
   ReportedLoads = std::move(Latest);
-  for (const auto &[Service, Rates] : Sums) {
+  for (const auto &[Numbering, Rates] : Sums) {
     auto *Load = Heartbeat.add_loads();
-    Load->set_service(Service);
+    Load->set_service(Numbering.first);
+    Load->set_slot_count(Numbering.second);
     for (const auto &[Slot, Rate] : Rates) {
       Load->add_slots(Slot);
       Load->add_per_second(Rate.PerSecond);
--- a/src/pomeloswitch/ownership/load_table.cpp
+++ b/src/pomeloswitch/ownership/load_table.cpp
@@ -42,7 +42,8 @@
       Rates.push_back({Load.slots(Index), Load.per_second(Index),
                        Index < Load.latest_per_second_size()
                            ? Load.latest_per_second(Index)
-                           : Load.per_second(Index)});
+                           : Load.per_second(Index),
+                       Load.slot_count()});
   }
 }
 
@@ -53,6 +54,22 @@
   });
 }
 
+//! Adds the rate of a slot to its parts, or to the whole that it is a part of:
+//! a host may know the table as it was before or after a division.
+void load_table::addRate(const slot_load &Load, double PerSecond,
+                         std::vector<double> &Sums) {
+  const std::size_t Known = Load.SlotCount == 0 ? Sums.size() : Load.SlotCount;
+  if (Load.Slot >= Known)
+    return;
+  if (Sums.size() % Known == 0) {
+    const std::size_t Parts = Sums.size() / Known;
+    for (std::size_t Part = 0; Part < Parts; ++Part)
+      Sums[Load.Slot * Parts + Part] += PerSecond / static_cast<double>(Parts);
+  } else if (Known % Sums.size() == 0) {
+    Sums[Load.Slot / (Known / Sums.size())] += PerSecond;
+  }
+}
+
 std::vector<double> load_table::sumOf(float slot_load::*Rate,
                                       std::string_view Service,
                                       std::size_t SlotCount,
@@ -63,8 +80,7 @@
     if (Now - Host.HeardAt >= ReportLifetime || Rates == Host.Rates.end())
       continue;
     for (const slot_load &Load : Rates->second)
-      if (Load.Slot < SlotCount)
-        Sums[Load.Slot] += Load.*Rate;
+      addRate(Load, Load.*Rate, Sums);
   }
   return Sums;
 }
--- a/src/pomeloswitch/ownership/load_table.hpp
+++ b/src/pomeloswitch/ownership/load_table.hpp
@@ -48,12 +48,16 @@
     std::uint32_t Slot = 0;
     float PerSecond = 0;       //!< Moving average.
     float LatestPerSecond = 0; //!< Of the latest period alone.
+    //! Of the table that the host numbered by; 0 if not reported.
+    std::uint32_t SlotCount = 0;
   };
   struct host_loads {
     mono_time HeardAt{};
     std::map<std::string, std::vector<slot_load>, std::less<>> Rates;
   };
 
+  static void addRate(const slot_load &Load, double PerSecond,
+                      std::vector<double> &Sums);
   [[nodiscard]] std::vector<double> sumOf(float slot_load::*Rate,
                                           std::string_view Service,
                                           std::size_t SlotCount,
--- a/src/pomeloswitch/routing/slot_rate_meter.cpp
+++ b/src/pomeloswitch/routing/slot_rate_meter.cpp
@@ -33,7 +33,8 @@
       const float CurrentRate = static_cast<float>(Counter.Arrivals) / Seconds;
       Counter.PerSecond += NewestWeight * (CurrentRate - Counter.PerSecond);
       Counter.Arrivals = 0;
-      Rates.push_back({Slot, Counter.PerSecond, CurrentRate});
+      Rates.push_back({Slot, Counter.PerSecond, CurrentRate,
+                       static_cast<std::uint32_t>(OfService.SlotCount)});
     }
     std::erase_if(Slots, [](const auto &Entry) {
       return Entry.second.PerSecond < MinTrackedRate;
--- a/src/pomeloswitch/routing/slot_rate_meter.hpp
+++ b/src/pomeloswitch/routing/slot_rate_meter.hpp
@@ -13,8 +13,9 @@
 //! Request rate of one key slot.
 struct slot_rate {
   std::uint32_t Slot = 0;
-  float PerSecond = 0;       //!< Requests per second, moving average.
-  float LatestPerSecond = 0; //!< The same, of the latest period alone.
+  float PerSecond = 0;         //!< Requests per second, moving average.
+  float LatestPerSecond = 0;   //!< The same, of the latest period alone.
+  std::uint32_t SlotCount = 0; //!< Of the table that Slot is a number in.
 };
 
 //! Slot rates by service name.
--- a/tests/ownership/overloaded_owners_test.cpp
+++ b/tests/ownership/overloaded_owners_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace pomelo {
 namespace {
 
@@ -54,5 +56,39 @@
         load_case{"being_revoked", 40, 0.25F, {}, slot_phase::Revoking}),
     [](const auto &Info) { return Info.param.Name; });
 
+struct numbering_case {
+  std::string Name;
+  std::uint32_t Slot;
+  std::uint32_t ReportedCount;
+  std::vector<double> Rates; //!< Of the four slots that the leader knows.
+};
+
+void PrintTo(const numbering_case &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class load_by_other_numbers : public testing::TestWithParam<numbering_case> {};
+
+// Guards against refusals and moves for the wrong keys after a division, while
+// reports by the earlier numbers count.
+TEST_P(load_by_other_numbers, counts_for_the_same_keys) {
+  wire::heartbeat Report = loadReport("e1", 8);
+  Report.mutable_loads(0)->set_slots(0, GetParam().Slot);
+  Report.mutable_loads(0)->set_slot_count(GetParam().ReportedCount);
+  load_table Loads;
+  Loads.recordHeartbeat(Report, Start);
+  EXPECT_EQ(Loads.latestRates(OwnedService, 4, Start), GetParam().Rates);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each_numbering, load_by_other_numbers,
+    testing::Values(numbering_case{"not_reported", 1, 0, {0, 8, 0, 0}},
+                    numbering_case{"same", 1, 4, {0, 8, 0, 0}},
+                    numbering_case{"before_the_division", 1, 2, {0, 0, 4, 4}},
+                    numbering_case{"after_the_next", 7, 8, {0, 0, 0, 8}},
+                    numbering_case{"unrelated", 1, 3, {0, 0, 0, 0}},
+                    numbering_case{"out_of_range", 2, 2, {0, 0, 0, 0}}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo
