--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -105,7 +105,7 @@
     }
   refuseIfUnwanted(View, Now);
   if (IsNew)
-    refuseIfQueueTooLong(View, Now);
+    refuseIfQueueTooLong(View, Authoritative, Now);
   if (Now + PollInterval >= WaitDeadline)
     throw pomelo_error(error_kind::NoTarget,
                        "the service has no target that accepts new work");
@@ -114,7 +114,8 @@
 
 //! Refuses the request at once if no target that may take it wants requests
 //! before its deadline for waiting. One that is leaving may be replaced at any
-//! moment.
+//! moment. Stops at the first that wants requests, since each waiting request
+//! is checked every PollInterval.
 void target_selection::refuseIfUnwanted(const routing_view &View,
                                         time_point Now) const {
   const routing_service *Service = View.findService(Request.Service);
@@ -123,11 +124,14 @@
   std::optional<time_point> Earliest;
   for (const auto &Target : Service->Targets) {
     const target_notice Notice = State.Notices.of(*Target);
-    if (Target->AcceptsNewWork && !Notice.Leaving)
-      Earliest = std::min(Earliest.value_or(time_point::max()),
-                          Notice.WantsNothingUntil);
+    if (!Target->AcceptsNewWork || Notice.Leaving)
+      continue;
+    if (Notice.WantsNothingUntil <= std::max(Now, WaitDeadline))
+      return;
+    Earliest = std::min(Earliest.value_or(time_point::max()),
+                        Notice.WantsNothingUntil);
   }
-  if (!Earliest || *Earliest <= std::max(Now, WaitDeadline))
+  if (!Earliest)
     return;
   throw pomelo_error(
       error_kind::NoTarget, "no target of the service wants requests in time",
@@ -173,10 +177,10 @@
                    Service.Split->Share;
 }
 
-bool target_selection::ofDrawnVersion(const routing_service &Service,
-                                      const routing_target &Target) const {
+bool target_selection::ofVersion(const routing_service &Service,
+                                 const routing_target &Target, bool New) {
   return !Service.Split ||
-         (Target.Member.Version == Service.Split->Version) == ToNewVersion;
+         (Target.Member.Version == Service.Split->Version) == New;
 }
 
 routing_target_ptr target_selection::chooseAmong(const routing_view &View,
@@ -189,8 +193,10 @@
     const bool Near = Target.Member.FailureDomain == State.FailureDomain;
     return State.Statistics.score(Target, Now) + (Near ? 0 : CrossDomainCost);
   };
-  const target_predicates Predicates = makePredicates(View, Service, Now);
+  const target_predicates Predicates =
+      makePredicates(View, Service, ToNewVersion, Now);
   const std::size_t Size = subsetSizeOf(View, Service, Now);
+  ColdShare.reset();
   if (Size >= Service.Targets.size())
     return chooseBest(Service, Request.ExcludedTargets, Predicates.HasRoom,
                       Load, State.Random);
@@ -206,21 +212,24 @@
                     Service.Targets.size(), View.EntryHosts);
 }
 
-target_predicates target_selection::makePredicates(
-    const routing_view &View, const routing_service &Service, time_point Now) {
-  return {[this, &Service, Now](const routing_target &Target) {
-            return ofDrawnVersion(Service, Target) &&
-                   State.Notices.of(Target).wantsRequests(Now) &&
-                   State.Statistics.usable(Target, Now);
-          },
-          [this, Now](const routing_target &Target) {
-            return !isCold(Target, Now);
-          },
-          [this, &View, &Service, Now](const routing_target &Target) {
-            return ofDrawnVersion(Service, Target) &&
-                   canTakeRequest(Target, Now) &&
-                   admitIfCold(View, Service, Target, false, Now);
-          }};
+target_predicates
+target_selection::makePredicates(const routing_view &View,
+                                 const routing_service &Service,
+                                 bool NewVersion, time_point Now) {
+  return {
+      [this, &Service, NewVersion, Now](const routing_target &Target) {
+        return ofVersion(Service, Target, NewVersion) &&
+               State.Notices.of(Target).wantsRequests(Now) &&
+               State.Statistics.usable(Target, Now);
+      },
+      [this, Now](const routing_target &Target) {
+        return !isCold(Target, Now);
+      },
+      [this, &View, &Service, NewVersion, Now](const routing_target &Target) {
+        return ofVersion(Service, Target, NewVersion) &&
+               canTakeRequest(Target, Now) &&
+               admitIfCold(View, Service, Target, false, Now);
+      }};
 }
 
 bool target_selection::canTakeRequest(const routing_target &Target,
@@ -235,6 +244,28 @@
   return Target.Member.Cold || State.Statistics.mayBeCold(Target, Now);
 }
 
+//! Returns the part of the requests to a cold target that this host may send:
+//! only the hosts that have the target in their subset share its rate.
+double target_selection::coldShareOf(const routing_view &View,
+                                     const routing_service &Service,
+                                     time_point Now) {
+  const auto Hosts = static_cast<double>(View.EntryHosts);
+  if (Service.Ring.empty())
+    return 1 / Hosts;
+  if (!ColdShare) {
+    const std::size_t Size = subsetSizeOf(View, Service, Now);
+    const double Users =
+        Size >= Service.Targets.size()
+            ? Hosts
+            : Hosts * subsetStretch(
+                          Service, View.RingPosition, Size,
+                          Request.ExcludedTargets,
+                          makePredicates(View, Service, ToNewVersion, Now));
+    ColdShare = 1 / std::max(1.0, Users);
+  }
+  return *ColdShare;
+}
+
 //! Limits the requests that all entry hosts together send to a cold target.
 //! Targets that are not cold are always admitted.
 bool target_selection::admitIfCold(const routing_view &View,
@@ -244,8 +275,8 @@
   if (!isCold(Target, Now) || Service.ColdRatePerSecond <= 0)
     return true;
   return State.ColdLimiter.admit(Target.Member.TargetId,
-                                 Service.ColdRatePerSecond /
-                                     static_cast<double>(View.EntryHosts),
+                                 Service.ColdRatePerSecond *
+                                     coldShareOf(View, Service, Now),
                                  Consume, Now);
 }
 
@@ -278,28 +309,47 @@
       MinRetryAfter + std::chrono::duration_cast<milliseconds>(Spread));
 }
 
+//! Adds what the targets of one version give back each second, and when the
+//! first of them may be sent to. These are as many as choose() may use while
+//! the subset is full.
+void target_selection::addCapacity(const routing_view &View,
+                                   const routing_service &Service,
+                                   bool NewVersion, time_point Now,
+                                   freed_capacity &Capacity) {
+  const std::size_t Size =
+      subset_limits().MaxWidening * subsetSizeOf(View, Service, Now);
+  for (const routing_target_ptr &Target :
+       subsetMembers(Service, View.RingPosition, Size, Request.ExcludedTargets,
+                     makePredicates(View, Service, NewVersion, Now))) {
+    Capacity.PerSecond += State.Statistics.throughput(*Target);
+    // A request for the old version never goes to the new one.
+    if (ToNewVersion || !NewVersion)
+      Capacity.Earliest = std::min(
+          Capacity.Earliest, State.Statistics.expectedWait(*Target, 0, Now));
+  }
+}
+
 //! Refuses a new request immediately, with a retry time, if it would wait
 //! beyond its deadline for waiting: for the requests ahead of it, or since its
-//! targets get none before.
+//! targets get none before. During a roll-out the requests ahead go to both
+//! versions.
 void target_selection::refuseIfQueueTooLong(const routing_view &View,
+                                            bool Authoritative,
                                             time_point Now) {
   const std::size_t Ahead = Position->requestsAhead();
   const routing_service *Service = View.findService(Request.Service);
   if (!Service)
     return;
-  double PerSecond = 0;
-  auto Earliest = std::chrono::duration<double>::max();
-  for (const routing_target_ptr &Target : subsetMembers(
-           *Service, View.RingPosition, subsetSizeOf(View, *Service, Now),
-           Request.ExcludedTargets, makePredicates(View, *Service, Now))) {
-    PerSecond += State.Statistics.throughput(*Target);
-    Earliest =
-        std::min(Earliest, State.Statistics.expectedWait(*Target, 0, Now));
-  }
-  if (PerSecond <= 0)
+  drawVersion(*Service, Authoritative);
+  freed_capacity Capacity;
+  addCapacity(View, *Service, false, Now, Capacity);
+  if (Service->Split && Service->Split->Share > 0)
+    addCapacity(View, *Service, true, Now, Capacity);
+  if (Capacity.Earliest == freed_capacity().Earliest || Capacity.PerSecond <= 0)
     return;
-  const auto Expected = Earliest + std::chrono::duration<double>(
-                                       static_cast<double>(Ahead) / PerSecond);
+  const auto Expected =
+      Capacity.Earliest + std::chrono::duration<double>(
+                              static_cast<double>(Ahead) / Capacity.PerSecond);
   if (Now + Expected <= WaitDeadline)
     return;
   // Those who are refused together return one after the other while the queue
