Observing: log lines and a metric for the subsets of targets

Operators could not see which targets an entry host uses. subset_monitor compares the subsets once a second; subset_changed tells that a target entered or left and why, and pomelo_subset_targets gives the size by service. Refusals are counted by error name in pomelo_requests_total as before; finer reasons are not counted yet. Glossary: ring, subset, slot refinement, full target.

--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -1,5 +1,7 @@
 #include "pomeloswitch/entry/traffic_thread.hpp"
 
+#include "pomeloswitch/observe/log.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -11,6 +13,7 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
 constexpr auto LoadsInterval = std::chrono::milliseconds(1000);
+constexpr auto SubsetsInterval = std::chrono::milliseconds(1000);
 //! Of the counts of roll-outs; as often as heartbeats are sent.
 constexpr auto OutcomesInterval = std::chrono::milliseconds(200);
 
@@ -152,6 +155,28 @@
               std::memory_order_release);
 }
 
+//! Logs the changes of the subsets and updates their sizes in the metrics.
+void traffic_thread::reportSubsets(steady_time Now) {
+  if (Now < NextSubsetsAt)
+    return;
+  NextSubsetsAt = Now + SubsetsInterval;
+  for (const subset_change &Change :
+       Subsets.observe(*Context.View, Context.Sending, Now))
+    component_logger("entry").event(log_level::Info, "subset_changed",
+                                    {{"service", Change.Service},
+                                     {"target", Change.Target},
+                                     {"entered", Change.Entered},
+                                     {"reason", nameOf(Change.Reason)}});
+  const auto Sizes = Subsets.sizes();
+  for (const auto &[Name, Service] : Context.View->Services) {
+    const auto Found = Sizes.find(Name);
+    if (!Service.Slots)
+      Context.Metrics.setGauge(
+          "pomelo_subset_targets", {{"service", Name}},
+          Found == Sizes.end() ? 0 : static_cast<double>(Found->second));
+  }
+}
+
 void traffic_thread::publishOutcomes(steady_time Now) {
   if (Context.Rollouts.outcomes().empty() || Now < NextOutcomesAt)
     return;
@@ -169,6 +194,7 @@
     updateQuiescedIndex();
     publishLoads(std::chrono::steady_clock::now());
     publishOutcomes(std::chrono::steady_clock::now());
+    reportSubsets(std::chrono::steady_clock::now());
     tick();
   });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -5,6 +5,8 @@
 #include "pomeloswitch/http/caller_server.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 
+#include "pomeloswitch/sending/subset_monitor.hpp"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -111,6 +113,7 @@
   void tick();
   void publishLoads(steady_time Now);
   void publishOutcomes(steady_time Now);
+  void reportSubsets(steady_time Now);
   void dropEndedRollouts();
   void awaitIdle(std::function<void()> OnIdle);
 
@@ -124,6 +127,8 @@
   std::atomic<std::uint64_t> PublishedQuiescedIndex{0};
   std::atomic<std::shared_ptr<const load_report>> Loads;
   steady_time NextLoadsAt{};
+  subset_monitor Subsets;
+  steady_time NextSubsetsAt{};
   std::atomic<std::shared_ptr<const outcomes_by_service>> Outcomes;
   steady_time NextOutcomesAt{};
   std::atomic<std::shared_ptr<const routing_view>> Adopted{
