Targets: the new refusals apply only to services with many targets

Cause: services with few targets were refused by the same new estimates; they are to be served as before.

Change: a host that uses all targets of a service without keys refuses by its queue only during a roll-out, and the time until the next send counts towards the wait for an owner only in services with 64 targets or more.

Tests: target_book_test 21 passed, sending_test 74, routing_test 46, state_test 63.

--- a/src/pomeloswitch/routing/target_statistics.cpp
+++ b/src/pomeloswitch/routing/target_statistics.cpp
@@ -210,29 +210,30 @@
 
 std::chrono::duration<double>
 target_statistics::expectedWait(const routing_target &Target, std::size_t Ahead,
-                                time_point Now, bool Bounded) const {
+                                bool Bounded) const {
   const record *Record = find(Target);
   if (!Record || Record->Window == 0)
     return {};
   const double Average = std::max(DefaultSeconds, Record->AverageSeconds);
-  const double Window = windowOf(*Record, Bounded);
-  return untilNextSend(*Record, Window, Now) +
-         std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
-                                       Window);
+  return std::chrono::duration<double>(static_cast<double>(Ahead) * Average /
+                                       windowOf(*Record, Bounded));
 }
 
-//! Returns how long no request may be sent for reasons that only time ends.
 std::chrono::duration<double>
-target_statistics::untilNextSend(const record &Record, double Window,
-                                 time_point Now) {
-  std::chrono::duration<double> Wait =
-      std::max(time_point::duration(0), Record.BackoffUntil - Now);
-  if (Window >= 1 || Record.InFlight > 0)
-    return Wait;
+target_statistics::untilNextSend(const routing_target &Target, time_point Now,
+                                 bool Bounded) const {
+  const record *Record = find(Target);
+  if (!Record || Record->Window == 0)
+    return {};
+  const std::chrono::duration<double> Backoff =
+      std::max(time_point::duration(0), Record->BackoffUntil - Now);
+  const double Window = windowOf(*Record, Bounded);
+  if (Window >= 1 || Record->InFlight > 0)
+    return Backoff;
   const std::chrono::duration<double> Spacing(
-      std::max(DefaultSeconds, Record.AverageSeconds) / Window);
-  const std::chrono::duration<double> Since = Now - Record.SentAt;
-  return std::max(Wait, Spacing - Since);
+      std::max(DefaultSeconds, Record->AverageSeconds) / Window);
+  const std::chrono::duration<double> Since = Now - Record->SentAt;
+  return std::max(Backoff, Spacing - Since);
 }
 
 double target_statistics::throughput(const routing_target &Target) const {
--- a/src/pomeloswitch/routing/target_statistics.hpp
+++ b/src/pomeloswitch/routing/target_statistics.hpp
@@ -91,10 +91,15 @@
   [[nodiscard]] bool mayBeCold(const routing_target &Target,
                                time_point Now) const;
   //! Expected wait for the target when \p Ahead other requests are queued
-  //! before this one, estimated from this host's window, and its backoff.
+  //! before this one, estimated from this host's window.
   [[nodiscard]] std::chrono::duration<double>
-  expectedWait(const routing_target &Target, std::size_t Ahead, time_point Now,
+  expectedWait(const routing_target &Target, std::size_t Ahead,
                bool Bounded = false) const;
+  //! How long no request may be sent to the target for reasons that only time
+  //! ends: a backoff, or a window below one.
+  [[nodiscard]] std::chrono::duration<double>
+  untilNextSend(const routing_target &Target, time_point Now,
+                bool Bounded = false) const;
   //! Requests per second that the target takes of this host, by its window and
   //! its average latency.
   [[nodiscard]] double throughput(const routing_target &Target) const;
@@ -131,8 +136,6 @@
 
   [[nodiscard]] bool resetByFullTarget(const routing_target &Target,
                                        const record &Record, time_point Now);
-  [[nodiscard]] static std::chrono::duration<double>
-  untilNextSend(const record &Record, double Window, time_point Now);
   static std::string recordKey(const routing_target &Target);
   [[nodiscard]] const record *find(const routing_target &Target) const;
   [[nodiscard]] static double windowOf(const record &Record, bool Bounded);
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/sending/target_selection.hpp"
 
 #include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/state/slot_refinement.hpp"
 
 #include <fmt/format.h>
 
@@ -75,7 +76,7 @@
       admitIfCold(View, *Service, *Owner.Target, true, Now))
     return Owner;
   if (Owner.Target && Authoritative)
-    refuseIfWaitTooLong(*Owner.Target, Now);
+    refuseIfWaitTooLong(*Service, *Owner.Target, Now);
   if (Now + PollInterval >= WaitDeadline)
     refuseKey(Authoritative, Owner.Target != nullptr);
   return std::nullopt;
@@ -325,7 +326,7 @@
     // A request for the old version never goes to the new one.
     if (ToNewVersion || !NewVersion)
       Capacity.Earliest = std::min(
-          Capacity.Earliest, State.Statistics.expectedWait(*Target, 0, Now));
+          Capacity.Earliest, State.Statistics.untilNextSend(*Target, Now));
   }
 }
 
@@ -340,6 +341,11 @@
   const routing_service *Service = View.findService(Request.Service);
   if (!Service)
     return;
+  // A host that uses all targets is not the only one that frees them.
+  const bool UsesAll =
+      subsetSizeOf(View, *Service, Now) >= Service->Targets.size();
+  if (UsesAll && !Service->Split)
+    return;
   drawVersion(*Service, Authoritative);
   freed_capacity Capacity;
   addCapacity(View, *Service, false, Now, Capacity);
@@ -368,13 +374,21 @@
 
 //! Refuses the request immediately, with a retry time, if its expected wait
 //! exceeds the deadline for waiting.
-void target_selection::refuseIfWaitTooLong(const routing_target &Target,
+void target_selection::refuseIfWaitTooLong(const routing_service &Service,
+                                           const routing_target &Target,
                                            time_point Now) const {
   const std::size_t Ahead = Position->requestsAhead();
   const std::chrono::duration<double> Quiet =
       State.Notices.of(Target).WantsNothingUntil - Now;
+  // With few targets a host sees enough of an owner's responses for its window
+  // to open again within the wait.
+  const auto UntilNextSend =
+      Service.Targets.size() < MinTargetsToRefine
+          ? std::chrono::duration<double>(0)
+          : State.Statistics.untilNextSend(Target, Now, Bounded);
   const auto Expected = std::max(
-      State.Statistics.expectedWait(Target, Ahead, Now, Bounded), Quiet);
+      UntilNextSend + State.Statistics.expectedWait(Target, Ahead, Bounded),
+      Quiet);
   if (Now + Expected <= WaitDeadline)
     return;
   const auto HalfWait = std::chrono::duration_cast<milliseconds>(Expected / 2);
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -93,7 +93,8 @@
   void enqueue(const std::string &QueueName);
   void refuseIfUnwanted(const routing_view &View, time_point Now) const;
   void refuseBeyondShare(const routing_target &Owner, time_point Now);
-  void refuseIfWaitTooLong(const routing_target &Target, time_point Now) const;
+  void refuseIfWaitTooLong(const routing_service &Service,
+                           const routing_target &Target, time_point Now) const;
   void refuseIfQueueTooLong(const routing_view &View, bool Authoritative,
                             time_point Now);
   void addCapacity(const routing_view &View, const routing_service &Service,
--- a/src/pomeloswitch/state/slot_refinement.cpp
+++ b/src/pomeloswitch/state/slot_refinement.cpp
@@ -5,8 +5,6 @@
 namespace pomelo {
 namespace {
 
-//! With fewer targets the configured slots are left as they are.
-constexpr std::size_t MinTargets = 64;
 //! Shares that differ by a quarter of a target's own can be told apart.
 constexpr std::size_t SlotsPerTarget = 4;
 
@@ -15,7 +13,7 @@
 std::optional<std::uint32_t> wantedSlotCount(std::uint32_t SlotCount,
                                              std::size_t Targets,
                                              std::uint32_t KeySpace) {
-  if (Targets < MinTargets || SlotCount == 0)
+  if (Targets < MinTargetsToRefine || SlotCount == 0)
     return std::nullopt;
   std::uint32_t Wanted = SlotCount;
   while (Wanted < SlotsPerTarget * Targets &&
--- a/src/pomeloswitch/state/slot_refinement.hpp
+++ b/src/pomeloswitch/state/slot_refinement.hpp
@@ -15,6 +15,8 @@
 namespace pomelo {
 
 inline constexpr std::uint32_t MaxSlotsPerService = 4096;
+//! With fewer targets the configured slots are left as they are.
+inline constexpr std::size_t MinTargetsToRefine = 64;
 
 //! Returns the number of slots that a service with \p Targets targets needs,
 //! or nothing if \p SlotCount suffices or the key space cannot be divided
--- a/tests/routing/target_statistics_test.cpp
+++ b/tests/routing/target_statistics_test.cpp
@@ -57,9 +57,11 @@
     Statistics.recordLoad(Target, {2, 6, 2, 1}, Now);
   EXPECT_FALSE(Statistics.hasRoom(Target, Now));
   EXPECT_TRUE(Statistics.hasRoom(Target, Now + std::chrono::seconds(30)));
-  EXPECT_GT(Statistics.expectedWait(Target, 3, Now).count(), 0.5);
+  EXPECT_GT(Statistics.expectedWait(Target, 3).count(), 0.5);
+  EXPECT_GT(Statistics.untilNextSend(Target, Now).count(), 0.2);
+  EXPECT_EQ(Statistics.untilNextSend(Target, Now, true).count(), 0);
   // The leader's bound on all hosts replaces a window below one.
-  EXPECT_LT(Statistics.expectedWait(Target, 3, Now, true).count(), 0.5);
+  EXPECT_LT(Statistics.expectedWait(Target, 3, true).count(), 0.5);
   EXPECT_TRUE(Statistics.hasRoom(Target, Now, true));
   for (unsigned Answer = 0; Answer < 20; ++Answer)
     Statistics.recordLoad(Target, {1, 0, 2, 1}, Now);
