Tests: the outcome of an attempt is awaited, not read at once

Trace: the attempt is recorded after its response has been passed on, so the caller may have read it before.

--- a/tests/http/rollout_counts_test.cpp
+++ b/tests/http/rollout_counts_test.cpp
@@ -41,8 +41,14 @@
     View.Targets["t0"] = New;
   });
   Traffic.call("GET", "/once");
-  const outcomes_by_service Counts = Traffic.rolloutCounts();
-  ASSERT_TRUE(Counts.contains("s"));
+  // The outcome is recorded after the response has been passed on.
+  outcomes_by_service Counts;
+  ASSERT_TRUE(emulator::waitUntil(
+      [&] {
+        Counts = Traffic.rolloutCounts();
+        return Counts.contains("s");
+      },
+      std::chrono::seconds(2)));
   const service_outcomes &Service = Counts.at("s");
   EXPECT_EQ(Service.StartedIndex, 7U);
   EXPECT_EQ(Service.Requests, 1U);
