--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -1,8 +1,8 @@
 #include "pomeloswitch/http/caller_server.hpp"
 
 #include "pomeloswitch/http/accept_next.hpp"
-#include "pomeloswitch/http/caller_pipeline.hpp"
 #include "pomeloswitch/http/error_response.hpp"
+#include "pomeloswitch/http/exchange.hpp"
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
 #include "pomeloswitch/http/request_checks.hpp"
@@ -145,7 +145,7 @@
 caller_server::serve(std::shared_ptr<connection> Connection) {
   Connections.insert(Connection);
   try {
-    co_await serveRequests(Connection);
+    co_await serveRequests(*Connection);
   } catch (const boost::system::system_error &) {
     // The caller disconnected or its response could not be completed. Closing
     // the connection signals the incomplete response to the caller.
@@ -153,20 +153,17 @@
   Connections.erase(Connection);
 }
 
-asio::awaitable<void>
-caller_server::serveRequests(std::shared_ptr<connection> Connection) {
+asio::awaitable<void> caller_server::serveRequests(connection &Connection) {
   for (bool KeepAlive = true; KeepAlive;) {
-    auto Parser = std::make_unique<request_stream_parser>();
-    Parser->header_limit(callerBounds().HeaderBytes);
-    Parser->body_limit(boost::none);
-    const bool Read = co_await readHeader(*Connection, *Parser);
+    request_stream_parser Parser;
+    Parser.header_limit(callerBounds().HeaderBytes);
+    Parser.body_limit(boost::none);
+    const bool Read = co_await readHeader(Connection, Parser);
     if (!Read)
       co_return;
-    const serving_guard Serving(Connection->Serving);
-    const auto Pipeline = std::make_shared<caller_pipeline>(
-        Context, Connection, Connection->Stream, Connection->Buffer,
-        callerBounds().HeaderBytes);
-    KeepAlive = co_await Pipeline->serve(std::move(Parser));
+    const serving_guard Serving(Connection.Serving);
+    exchange Exchange(Context, Connection.Stream, Connection.Buffer, Parser);
+    KeepAlive = co_await Exchange.run();
   }
 }
 
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -22,8 +22,7 @@
   std::chrono::milliseconds HeaderTimeout{10000}; //!< For a complete header.
 };
 
-//! Accepts connections and serves the requests on each of them in sequence,
-//! except that pipelined ones may run concurrently (caller_pipeline).
+//! Accepts connections and serves the requests on each of them in sequence.
 class caller_server {
 public:
   //! Listens with SO_REUSEPORT, so that each traffic thread has its own
@@ -46,8 +45,7 @@
 
   boost::asio::awaitable<void> acceptLoop();
   boost::asio::awaitable<void> serve(std::shared_ptr<connection> Connection);
-  boost::asio::awaitable<void>
-  serveRequests(std::shared_ptr<connection> Connection);
+  boost::asio::awaitable<void> serveRequests(connection &Connection);
   [[nodiscard]] const caller_bounds &callerBounds() const;
   //! Reads a request header. Returns false if the connection must be closed.
   boost::asio::awaitable<bool> readHeader(connection &Connection,
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -42,9 +42,9 @@
 
 exchange::exchange(traffic_context &Context, beast::tcp_stream &Caller,
                    beast::flat_buffer &CallerBuffer,
-                   request_stream_parser &Request, response_turn &Turn)
-    : Context(Context), Caller(Caller), Request(Request), Turn(Turn),
-      View(Context.View), Body(Caller, CallerBuffer, Request),
+                   request_stream_parser &Request)
+    : Context(Context), Caller(Caller), Request(Request), View(Context.View),
+      Body(Caller, CallerBuffer, Request),
       Telemetry(Request.get()["traceparent"], Context.Sending.Random) {}
 
 asio::awaitable<bool> exchange::run() {
@@ -66,19 +66,11 @@
     throwConnectionAborted();
   if (Refusal)
     co_await writeError(*Refusal);
-  const bool LeavesInput =
-      !CallerKeepAlive && peekInput(Caller.socket()) == input_state::Data;
-  if (!Request.is_done() || LeavesInput)
+  if (!Request.is_done())
     co_await lingeringClose();
   co_return CallerKeepAlive;
 }
 
-void exchange::cancel() {
-  CallerDisconnected = true;
-  if (OnCallerDisconnect)
-    OnCallerDisconnect();
-}
-
 asio::awaitable<void> exchange::serve() {
   RequestId = Context.Dialect.requestIdOf(Request.get());
   Plan = planRequest();
@@ -139,8 +131,6 @@
   std::optional<pomelo_error> Failure;
   in_flight_table::in_flight_request InFlight;
   slot_owner Owner;
-  if (!Plan.Route.Idempotent)
-    co_await Turn.await();
   try {
     Owner = co_await awaitTarget();
     if (!History.maySendTo(Owner.Target->Member.TargetId,
@@ -206,18 +196,13 @@
       Exchange.History.recordSend(Owner.Target->Member.TargetId);
       Exchange.Context.Sending.Statistics.recordSend(*Owner.Target, SentAt);
     }
-    ~attempt_recorder() { record(); }
-    void record() {
-      if (!std::exchange(Recorded, true))
-        Exchange.recordAttempt(Owner, Dispatch, SentAt);
-    }
+    ~attempt_recorder() { Exchange.recordAttempt(Owner, Dispatch, SentAt); }
     attempt_recorder(const attempt_recorder &) = delete;
     attempt_recorder &operator=(const attempt_recorder &) = delete;
     exchange &Exchange;
     const slot_owner &Owner;
     target_dispatch &Dispatch;
     steady_clock::time_point SentAt;
-    bool Recorded = false;
   } AttemptRecorder(*this, Owner, Dispatch);
   // If the caller disconnects, the target's connection is closed to free the
   // target. A claimed request is completed instead, since its caller is
@@ -235,9 +220,6 @@
     cancel_on_disconnect(const cancel_on_disconnect &) = delete;
     cancel_on_disconnect &operator=(const cancel_on_disconnect &) = delete;
   } const CancelOnDisconnect(*this, Connection);
-  // Keeps little of the response in the buffer while it waits for its turn.
-  if (!Turn.hasCome())
-    Connection->Buffer.shrink_to_fit();
   co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
   observeCaller();
   if (CallerDisconnected && !Claim.ownsClaim())
@@ -248,11 +230,7 @@
     Context.Sending.Statistics.recordLoad(*Owner.Target, *Load,
                                           steady_clock::now());
   Telemetry.answered(Context.Metrics);
-  // The time that a response waits for its turn is not the target's.
-  co_await relayResponse(Connection, Dispatch, [&] {
-    AttemptRecorder.record();
-    InFlight.markSettled();
-  });
+  co_await relayResponse(Connection, Dispatch);
 }
 
 //! Detects that the caller disconnects while its request is served. Starts only
@@ -335,10 +313,6 @@
   if (!Plan.madeBy(*Context.View))
     throw pomelo_error(error_kind::UpstreamFailed,
                        "the configuration changed before the request was sent");
-  // The configuration may have made the route one that is not idempotent.
-  if (!Plan.Route.Idempotent && !Turn.hasCome())
-    throw pomelo_error(error_kind::UpstreamFailed,
-                       "the request must wait for its turn");
   // The routing view that selected the target may have been replaced while this
   // request waited for a connection.
   if (!mayStillSend(*Context.View, Plan.Service, Owner))
@@ -378,58 +352,36 @@
 bool exchange::mayRetry(error_kind Kind) {
   const retry_policy Terms{Plan.Route.MaxTargets, Plan.Route.Idempotent,
                            Plan.Key.has_value()};
-  if (ResponseBegan || Body.partlyRelayed() ||
-      steady_clock::now() >= Plan.Deadline || !History.mayRetry(Kind, Terms))
+  if (Body.partlyRelayed() || steady_clock::now() >= Plan.Deadline ||
+      !History.mayRetry(Kind, Terms))
     return false;
   return History.sendCount() == 0 ||
          Context.Retries.spend(Plan.Service, View->EntryHosts);
 }
 
-asio::awaitable<void>
-exchange::relayResponse(pooled_connection &Connection,
-                        target_dispatch &Dispatch,
-                        const std::function<void()> &OnReadAhead) {
-  ResponseBegan = true;
+asio::awaitable<void> exchange::relayResponse(pooled_connection &Connection,
+                                              target_dispatch &Dispatch) {
+  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
   response_relay Relay(Caller, *Connection, Dispatch.response(),
                        Context.Dialect, Context.Sending.Link, Plan.Deadline);
   if (Claim.ownsClaim())
     Relay.enableCopy();
-  co_await Relay.readUntil(Turn);
-  const bool ReadAhead = !Turn.hasCome() && Dispatch.response().is_done();
-  if (ReadAhead) {
-    OnReadAhead();
-    OnCallerDisconnect = nullptr;
-    if (Dispatch.reusable())
-      Connection.returnToPool();
-  }
-  co_await Relay.awaitTurn(Turn);
-  decideKeepAlive(Context.Stopping);
   co_await Relay.run(CallerKeepAlive);
   if (Claim.ownsClaim())
     Claim.answered(*Relay.takeCopy());
   CallerDisconnected = CallerDisconnected || Relay.callerDisconnected();
   clearSuspicion();
-  if (!ReadAhead && Dispatch.reusable())
+  if (Dispatch.reusable())
     Connection.returnToPool();
 }
 
-//! The host closes no connection while requests behind this one are in
-//! progress; the response to the last of them announces the close.
-void exchange::decideKeepAlive(bool HostEnds) {
-  CallerKeepAlive =
-      CallerKeepAlive && Request.is_done() && !(HostEnds && Turn.isLast());
-  if (!CallerKeepAlive)
-    Turn.closeBehind();
-}
-
 asio::awaitable<void> exchange::writeError(const pomelo_error &Refusal) {
   co_await writeResponse(
       Context.Dialect.errorResponse(Refusal, Request.get().version()));
 }
 
 asio::awaitable<void> exchange::writeResponse(text_response Response) {
-  co_await Turn.await();
-  decideKeepAlive(Context.EndsAt.has_value());
+  CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.EndsAt;
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
   if (Request.get().method() != http::verb::head) {
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -9,7 +9,6 @@
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/request_plan.hpp"
 #include "pomeloswitch/http/request_telemetry.hpp"
-#include "pomeloswitch/http/response_queue.hpp"
 #include "pomeloswitch/http/target_dispatch.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 #include "pomeloswitch/retry/claim_guard.hpp"
@@ -35,7 +34,7 @@
 public:
   exchange(traffic_context &Context, boost::beast::tcp_stream &Caller,
            boost::beast::flat_buffer &CallerBuffer,
-           request_stream_parser &Request, response_turn &Turn);
+           request_stream_parser &Request);
 
   //! Serves the request, whose header has already been read. Returns whether
   //! the caller's connection can be reused for another request.
@@ -43,9 +42,6 @@
   //! closed because its response is incomplete.
   boost::asio::awaitable<bool> run();
 
-  //! Ends the request because the caller's connection has ended.
-  void cancel();
-
 private:
   boost::asio::awaitable<void> serve();
   [[nodiscard]] request_plan planRequest() const;
@@ -74,10 +70,8 @@
   void logOutcome(const std::optional<pomelo_error> &Refusal) const;
   void checkDispatchAllowed(const slot_owner &Owner) const;
   request_header dispatchHeader(const slot_owner &Owner);
-  //! \p OnReadAhead is called if the whole response was read before its turn.
-  boost::asio::awaitable<void>
-  relayResponse(pooled_connection &Connection, target_dispatch &Dispatch,
-                const std::function<void()> &OnReadAhead);
+  boost::asio::awaitable<void> relayResponse(pooled_connection &Connection,
+                                             target_dispatch &Dispatch);
   void recordNotice(const slot_owner &Owner, const target_dispatch &Dispatch);
   void recordAttempt(const slot_owner &Owner, const target_dispatch &Dispatch,
                      std::chrono::steady_clock::time_point SentAt);
@@ -90,12 +84,10 @@
   boost::asio::awaitable<void> writeError(const pomelo_error &Refusal);
   boost::asio::awaitable<void> writeResponse(text_response Response);
   boost::asio::awaitable<void> lingeringClose();
-  void decideKeepAlive(bool HostEnds);
 
   traffic_context &Context;
   boost::beast::tcp_stream &Caller;
   request_stream_parser &Request;
-  response_turn &Turn;
   std::shared_ptr<const routing_view> View;
   std::string RequestId; //!< Request id that the caller sent; may be empty.
   request_plan Plan;
@@ -114,7 +106,6 @@
   //! When the account's rate admitted the request.
   std::optional<std::chrono::steady_clock::time_point> AdmittedAt;
   std::vector<std::string> TriedTargets;
-  bool ResponseBegan = false; //!< A target's response is being relayed.
   bool CallerKeepAlive = true;
   bool CallerDisconnected = false;
   std::function<void()> OnCallerDisconnect;
--- a/src/pomeloswitch/http/response_relay.cpp
+++ b/src/pomeloswitch/http/response_relay.cpp
@@ -1,6 +1,5 @@
 #include "pomeloswitch/http/response_relay.hpp"
 
-#include "pomeloswitch/errors/error_kind.hpp"
 #include "pomeloswitch/http/link_turn.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -11,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <utility>
 
 namespace pomelo {
 namespace {
@@ -25,9 +23,6 @@
                                   http::field::content_encoding,
                                   http::field::location, http::field::etag};
 constexpr std::size_t MaxCopiedFieldBytes = 1024;
-//! Size of the pieces in which a response is read before its turn. Small
-//! pieces let eight responses share MaxHeldBytes.
-constexpr std::size_t HeldPieceBytes = 8 * 1024;
 
 auto redirect(error_code &Error) {
   return asio::redirect_error(asio::use_awaitable, Error);
@@ -41,8 +36,7 @@
                                const target_dialect &Dialect, link_pacer &Link,
                                steady_time Deadline)
     : Caller(Caller), Connection(Connection), Response(Response),
-      Dialect(Dialect), Link(Link), Deadline(Deadline),
-      HasBody(!Response.is_done()) {
+      Dialect(Dialect), Link(Link), Deadline(Deadline) {
   Connection.Stream.expires_at(Deadline);
 }
 
@@ -59,6 +53,7 @@
 
 asio::awaitable<void> response_relay::run(bool KeepAlive) {
   message Message(Dialect.headerForCaller(Response.get()));
+  const bool HasBody = !Response.is_done();
   if (HasBody && !Response.content_length())
     Message.chunked(true);
   Message.keep_alive(KeepAlive);
@@ -67,81 +62,13 @@
   serializer Serializer(Message);
   Caller.expires_at(writeDeadline());
   co_await writeHeader(Serializer);
-  co_await writeHeld(Message, Serializer);
   while (!Response.is_done()) {
-    const std::span<char> Piece = co_await readPiece(RelayChunkBytes);
+    const std::span<char> Piece = co_await readPiece();
     copyPiece(Piece);
-    co_await writePiece(Message, Serializer, Piece, Response.is_done());
+    co_await writePiece(Message, Serializer, Piece);
   }
   if (HasBody && !Serializer.is_done())
-    co_await writePiece(Message, Serializer, {}, true);
-}
-
-asio::awaitable<void> response_relay::readUntil(response_turn &Turn) {
-  if (Turn.hasCome())
-    co_return;
-  HeldFor = &Turn;
-  error_code Error;
-  try {
-    co_await readAhead(Turn);
-  } catch (const boost::system::system_error &Failure) {
-    Error = Failure.code();
-  }
-  Connection.Buffer.max_size(MaxUpstreamBufferBytes);
-  if (Error && Turn.ended())
-    throw boost::system::system_error(Error);
-  if (Error)
-    throw pomelo_error(error_kind::OutcomeUnknown,
-                       "the response ended early: " + Error.message());
-}
-
-asio::awaitable<void> response_relay::awaitTurn(response_turn &Turn) {
-  const bool InTime =
-      co_await Turn.await(Response.is_done() ? steady_time::max() : Deadline);
-  if (!InTime)
-    throw pomelo_error(error_kind::OutcomeUnknown,
-                       "the deadline passed before the response was read");
-}
-
-//! Counts the capacity of each buffer that it fills before it reads.
-asio::awaitable<void> response_relay::readAhead(response_turn &Turn) {
-  const std::size_t BufferBytes =
-      std::max(Connection.Buffer.size(), HeldPieceBytes);
-  const bool Counted =
-      co_await Turn.awaitRoom(BufferBytes + HeldPieceBytes, Deadline);
-  if (!Counted)
-    co_return;
-  HeldBytes = BufferBytes + HeldPieceBytes;
-  Connection.Buffer.max_size(BufferBytes);
-  while (!Response.is_done()) {
-    if (Held.capacity() - Held.size() < HeldPieceBytes) {
-      const bool MayGrow = co_await Turn.awaitRoom(HeldPieceBytes, Deadline);
-      if (!MayGrow)
-        co_return;
-      HeldBytes += HeldPieceBytes;
-      Held.reserve(Held.capacity() + HeldPieceBytes);
-    }
-    const std::span<char> Piece = co_await readPiece(HeldPieceBytes);
-    Held.insert(Held.end(), Piece.begin(), Piece.end());
-    if (Turn.hasCome())
-      co_return;
-  }
-}
-
-asio::awaitable<void> response_relay::writeHeld(message &Message,
-                                                serializer &Serializer) {
-  const std::size_t PieceBytes = std::min(RelayChunkBytes, Link.pieceBytes());
-  for (std::size_t Written = 0; Written < Held.size();) {
-    const auto Piece = std::span(Held).subspan(
-        Written, std::min(PieceBytes, Held.size() - Written));
-    Written += Piece.size();
-    copyPiece(Piece);
-    co_await writePiece(Message, Serializer, Piece,
-                        Response.is_done() && Written == Held.size());
-  }
-  Held = {};
-  if (HeldFor)
-    HeldFor->release(std::exchange(HeldBytes, 0));
+    co_await writePiece(Message, Serializer, {});
 }
 
 asio::awaitable<void> response_relay::writeHeader(serializer &Serializer) {
@@ -157,12 +84,11 @@
   return Response.is_done() ? Latest : std::min(Latest, Deadline);
 }
 
-asio::awaitable<std::span<char>>
-response_relay::readPiece(std::size_t MaxBytes) {
+asio::awaitable<std::span<char>> response_relay::readPiece() {
   // The stream's own timeout does not end a read that finds input waiting.
   if (std::chrono::steady_clock::now() >= Deadline)
     throw boost::system::system_error(boost::beast::error::timeout);
-  Chunk.resize(std::min(MaxBytes, Link.pieceBytes()));
+  Chunk.resize(std::min(RelayChunkBytes, Link.pieceBytes()));
   Response.get().body().data = Chunk.data();
   Response.get().body().size = Chunk.size();
   error_code Error;
@@ -183,8 +109,8 @@
 
 asio::awaitable<void> response_relay::writePiece(message &Message,
                                                  serializer &Serializer,
-                                                 std::span<char> Piece,
-                                                 bool Last) {
+                                                 std::span<char> Piece) {
+  const bool Last = Response.is_done();
   if (CallerDisconnected || (Piece.empty() && !Last))
     co_return;
   RelayedBytes += Piece.size();
--- a/src/pomeloswitch/http/response_relay.hpp
+++ b/src/pomeloswitch/http/response_relay.hpp
@@ -2,7 +2,6 @@
 #ifndef POMELOSWITCH_HTTP_RESPONSE_RELAY_HPP
 #define POMELOSWITCH_HTTP_RESPONSE_RELAY_HPP
 
-#include "pomeloswitch/http/response_queue.hpp"
 #include "pomeloswitch/http/stream_parsers.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
@@ -34,14 +33,6 @@
   //! disconnects.
   void enableCopy();
 
-  //! Before the turn of the response, reads as much of it as may be held.
-  //! Nothing has been written to the caller when it returns. \throws
-  //! pomelo_error if the target's connection fails.
-  boost::asio::awaitable<void> readUntil(response_turn &Turn);
-  //! Waits for the turn. The target's connection is not used if the response
-  //! has been read. \throws pomelo_error if it has not and the deadline passes.
-  boost::asio::awaitable<void> awaitTurn(response_turn &Turn);
-
   //! Relays until the end of the response, which must have been read by the
   //! deadline. \p KeepAlive sets the keep-alive
   //! header that is sent to the caller.
@@ -61,14 +52,10 @@
   using serializer =
       boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
-  boost::asio::awaitable<void> readAhead(response_turn &Turn);
-  boost::asio::awaitable<void> writeHeld(message &Message,
-                                         serializer &Serializer);
-  boost::asio::awaitable<std::span<char>> readPiece(std::size_t MaxBytes);
+  boost::asio::awaitable<std::span<char>> readPiece();
   boost::asio::awaitable<void> awaitRelayTurn(std::size_t Bytes);
-  boost::asio::awaitable<void> writePiece(message &Message,
-                                          serializer &Serializer,
-                                          std::span<char> Piece, bool Last);
+  boost::asio::awaitable<void>
+  writePiece(message &Message, serializer &Serializer, std::span<char> Piece);
   boost::asio::awaitable<void> writeHeader(serializer &Serializer);
   [[nodiscard]] steady_time writeDeadline() const;
   void checkCaller(boost::system::error_code Error);
@@ -82,10 +69,6 @@
   std::size_t RelayedBytes = 0; //!< Of the body.
   steady_time Deadline;
   std::vector<char> Chunk;
-  std::vector<char> Held;    //!< Body that was read before the turn.
-  std::size_t HeldBytes = 0; //!< Counted by the turn.
-  response_turn *HeldFor = nullptr;
-  bool HasBody;
   std::optional<kept_answer> Copy;
   bool CallerDisconnected = false;
 };
