--- a/src/pomeloswitch/routing/target_ring.cpp
+++ b/src/pomeloswitch/routing/target_ring.cpp
@@ -47,6 +47,7 @@
   }
   std::sort(Entries.begin(), Entries.end(), before);
   std::vector<routing_target_ptr> Ring;
+  Ring.reserve(Entries.size());
   for (ring_entry &Entry : Entries)
     Ring.push_back(std::move(Entry.Target));
   return Ring;
--- a/tests/routing/full_target_detector_test.cpp
+++ b/tests/routing/full_target_detector_test.cpp
@@ -79,19 +79,19 @@
   target_statistics Statistics;
   const routing_target Target = makeTarget("t1");
   auto Now = Start;
-  const auto reset = [&] {
+  const auto LoseConnection = [&] {
     Statistics.recordLoad(Target, {3, 6, 3, 1}, Now);
     Statistics.recordSend(Target, Now);
     Statistics.recordOutcome(Target, send_outcome::Lost, milliseconds(1), Now);
   };
-  reset();
+  LoseConnection();
   EXPECT_TRUE(Statistics.mayBeCold(Target, Now + milliseconds(10)));
   Now += seconds(5);
   Statistics.recordSend(Target, Now);
   Now += milliseconds(100);
   Statistics.recordOutcome(Target, send_outcome::Answered, milliseconds(100),
                            Now);
-  reset();
+  LoseConnection();
   EXPECT_FALSE(Statistics.mayBeCold(Target, Now + milliseconds(10)));
   EXPECT_TRUE(Statistics.usable(Target, Now + milliseconds(200)));
 }
