Targets: one question for a cold target, asked per attempt only during a roll-out

Found on the last reading: three places put the same two conditions together, and each attempt looked the target up for counts that only a roll-out needs.

--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -165,8 +165,9 @@
   const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
   // Taken before the outcome is recorded: a lost connection makes the target
   // suspected of being cold, which must not hide that very loss.
-  const bool Cold = Owner.Target->Member.Cold ||
-                    Context.Sending.Statistics.mayBeCold(*Owner.Target, Now);
+  const routing_service *Service = Context.View->findService(Plan.Service);
+  const bool Cold =
+      Service && Service->Split && Context.Sending.isCold(*Owner.Target, Now);
   Context.Sending.Statistics.recordOutcome(*Owner.Target, End, Now - SentAt,
                                            Now);
   if (End == send_outcome::Answered || End == send_outcome::Shed)
--- a/src/pomeloswitch/sending/send_state.hpp
+++ b/src/pomeloswitch/sending/send_state.hpp
@@ -22,6 +22,12 @@
   explicit send_state(std::string FailureDomain = {}, std::uint64_t Seed = 0)
       : FailureDomain(std::move(FailureDomain)), Random(Seed) {}
 
+  //! Whether the target is cold, or may be after a restart.
+  [[nodiscard]] bool isCold(const routing_target &Target,
+                            target_statistics::time_point Now) const {
+    return Target.Member.Cold || Statistics.mayBeCold(Target, Now);
+  }
+
   std::string FailureDomain; //!< Of this entry host.
   random_engine Random;
   target_statistics Statistics;
--- a/src/pomeloswitch/sending/subset_monitor.cpp
+++ b/src/pomeloswitch/sending/subset_monitor.cpp
@@ -13,8 +13,7 @@
                    State.Statistics.usable(Target, Now);
           },
           [&State, Now](const routing_target &Target) {
-            return !Target.Member.Cold &&
-                   !State.Statistics.mayBeCold(Target, Now);
+            return !State.isCold(Target, Now);
           },
           [](const routing_target &) { return true; }};
 }
--- a/src/pomeloswitch/sending/target_selection.cpp
+++ b/src/pomeloswitch/sending/target_selection.cpp
@@ -224,7 +224,7 @@
                State.Statistics.usable(Target, Now);
       },
       [this, Now](const routing_target &Target) {
-        return !isCold(Target, Now);
+        return !State.isCold(Target, Now);
       },
       [this, &View, &Service, NewVersion, Now](const routing_target &Target) {
         return ofVersion(Service, Target, NewVersion) &&
@@ -240,11 +240,6 @@
          State.Statistics.hasRoom(Target, Now, Bounded);
 }
 
-bool target_selection::isCold(const routing_target &Target,
-                              time_point Now) const {
-  return Target.Member.Cold || State.Statistics.mayBeCold(Target, Now);
-}
-
 //! Returns the part of the requests to a cold target that this host may send:
 //! only the hosts that have the target in their subset share its rate.
 double target_selection::coldShareOf(const routing_view &View,
@@ -273,7 +268,7 @@
                                    const routing_service &Service,
                                    const routing_target &Target, bool Consume,
                                    time_point Now) {
-  if (!isCold(Target, Now) || Service.ColdRatePerSecond <= 0)
+  if (!State.isCold(Target, Now) || Service.ColdRatePerSecond <= 0)
     return true;
   return State.ColdLimiter.admit(Target.Member.TargetId,
                                  Service.ColdRatePerSecond *
--- a/src/pomeloswitch/sending/target_selection.hpp
+++ b/src/pomeloswitch/sending/target_selection.hpp
@@ -81,7 +81,6 @@
                                                  time_point Now);
   [[nodiscard]] bool canTakeRequest(const routing_target &Target,
                                     time_point Now) const;
-  [[nodiscard]] bool isCold(const routing_target &Target, time_point Now) const;
   bool admitIfCold(const routing_view &View, const routing_service &Service,
                    const routing_target &Target, bool Consume, time_point Now);
   [[nodiscard]] double coldShareOf(const routing_view &View,
