--- a/review/harness-2/endpoint.cpp
+++ b/review/harness-2/endpoint.cpp
@@ -131,15 +131,17 @@
   return makeAnswer(200, {}, {{"X-Handover", "5c0e7a21d94b36f8"}});
 }
 
-bool endpoint::holds(const std::string &Key) {
-  const auto Number = static_cast<unsigned>(std::atoi(Key.c_str()));
+bool endpoint::holds(unsigned Key) const {
   const std::lock_guard Lock(Mutex);
-  return !Key.empty() && Number < KeyCount && Record.now() < Keys[Number].Until;
+  return Running && Key < Keys.size() && Record.now() < Keys[Key].Until;
 }
 
 std::optional<http_message> endpoint::run(const http_message &Request) {
   const std::string Id = Request.field("X-Request-Id");
-  if (Options.Sharded && !holds(Request.field("X-Shard-Key")))
+  const std::string Key = Request.field("X-Shard-Key");
+  const bool Held =
+      !Key.empty() && holds(static_cast<unsigned>(std::atoi(Key.c_str())));
+  if (Options.Sharded && !Held)
     return makeAnswer(421, {}, {{"X-Request-Id", Id}, {"X-Not-Executed", "1"}});
   {
     std::unique_lock Lock(Mutex);
--- a/review/harness-2/endpoint.hpp
+++ b/review/harness-2/endpoint.hpp
@@ -83,6 +83,8 @@
 
   [[nodiscard]] const endpoint_options &options() const { return Options; }
   [[nodiscard]] std::vector<grant_event> grants() const;
+  //! Whether the endpoint is up and holds the key now.
+  [[nodiscard]] bool holds(unsigned Key) const;
   [[nodiscard]] bool running() const { return Running; }
 
 private:
@@ -95,7 +97,6 @@
   http_message grant(const http_message &Request);
   http_message release(const http_message &Request);
   std::optional<http_message> run(const http_message &Request);
-  bool holds(const std::string &Key);
   void report();
 
   record &Record;
