--- a/src/pomeloswitch/membership/lease_table.cpp
+++ b/src/pomeloswitch/membership/lease_table.cpp
@@ -3,12 +3,22 @@
 #include <algorithm>
 
 namespace pomelo {
+namespace {
+
+bool contains(const slots_by_service &Slots, std::string_view Service,
+              std::uint32_t Slot) {
+  const auto Found = Slots.find(Service);
+  return Found != Slots.end() && Found->second.contains(Slot);
+}
+
+} // namespace
 
 void lease_table::startTerm(const cluster_state &State, mono_time Now) {
   TermStartedAt = Now;
   Hosts.clear();
   Targets.clear();
   CalledTargets.clear();
+  FormerMembers = {};
   for (const auto &[Id, Member] : State.entryHosts()) {
     Hosts[Id] = {Member, 0, 0, 0, false, Now, std::nullopt};
     if (Member.Replaced)
@@ -117,6 +127,17 @@
              : &Found->second;
 }
 
+bool lease_table::heldByFormerMember(std::string_view Service,
+                                     std::uint32_t Slot) const {
+  return contains(FormerMembers.Slots, Service, Slot);
+}
+
+bool lease_table::mayHoldSlots(const target_member &Target,
+                               mono_time Now) const {
+  const called_target_status *Status = findCalledTarget(Target);
+  return Status && Now <= Status->HeldUntil;
+}
+
 bool lease_table::targetReleased(const target_member &Target,
                                  mono_time Now) const {
   if (!Target.OrderedByCall)
@@ -138,6 +159,9 @@
                                   mono_time Now) const {
   if (!Target.OrderedByCall)
     return true;
+  const target_status *Heard = findTarget(Target.TargetId);
+  if (Heard && Heard->Announced.Incarnation != Target.Incarnation)
+    return false;
   const called_target_status *Status = findCalledTarget(Target);
   return (!Status || Status->Responding) &&
          Now - targetHeardAt(Target.TargetId) <= Times.CalledTargetMaxSilence;
@@ -165,9 +189,7 @@
   const called_target_status *Status = findCalledTarget(Owner);
   if (!Status || Status->StateIndex < RevokeIndex)
     return false;
-  const auto Slots = Status->UnreleasedSlots.find(Service);
-  return Slots == Status->UnreleasedSlots.end() ||
-         !Slots->second.contains(Slot);
+  return !contains(Status->UnreleasedSlots, Service, Slot);
 }
 
 bool lease_table::predecessorExpired(std::string_view HostId,
--- a/src/pomeloswitch/membership/lease_table.hpp
+++ b/src/pomeloswitch/membership/lease_table.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace pomelo {
 
@@ -61,6 +62,10 @@
   std::uint64_t Sequence = 0;
 };
 
+//! Slot numbers by service.
+using slots_by_service =
+    std::map<std::string, std::set<std::uint32_t>, std::less<>>;
+
 //! The slots that a target ordered by calls may still serve, and whether it
 //! responds.
 struct called_target_status {
@@ -70,12 +75,18 @@
   std::uint64_t TakenIndex = 0; //!< As in target_status.
   std::uint64_t StateIndex = 0; //!< Log index of the state it is derived from.
   //! Revoked slots that it may still serve, by service.
-  std::map<std::string, std::set<std::uint32_t>, std::less<>> UnreleasedSlots;
+  slots_by_service UnreleasedSlots;
   bool KeepsSlots = true; //!< False if its slots are to be revoked.
   bool Responding = true; //!< False if its latest call failed and it
                           //!< has not been heard from since.
 };
 
+//! What grants by calls may still let targets serve that are no longer members.
+struct former_holdings {
+  slots_by_service Slots;
+  std::set<std::string, std::less<>> Holders; //!< Ids of the targets.
+};
+
 //! The latest heartbeat of an entry host.
 struct host_status {
   entry_member Announced;
@@ -133,13 +144,29 @@
   [[nodiscard]] bool targetExpired(std::string_view TargetId,
                                    mono_time Now) const;
 
+  //! Replaces the recorded holdings of targets that are no longer members.
+  void updateFormerMembers(former_holdings Holdings) {
+    FormerMembers = std::move(Holdings);
+  }
+
+  //! Whether a former member may still serve the slot.
+  [[nodiscard]] bool heldByFormerMember(std::string_view Service,
+                                        std::uint32_t Slot) const;
+  //! Whether a former member with this id may still serve any slot.
+  [[nodiscard]] bool formerMemberHoldsSlots(std::string_view TargetId) const {
+    return FormerMembers.Holders.contains(TargetId);
+  }
+  //! Whether the grants sent by calls may still let the target serve any slot.
+  [[nodiscard]] bool mayHoldSlots(const target_member &Target,
+                                  mono_time Now) const;
   //! Whether the target can no longer serve any slot.
   [[nodiscard]] bool targetReleased(const target_member &Target,
                                     mono_time Now) const;
   //! Whether the target may keep the slots that it owns.
   [[nodiscard]] bool mayKeepSlots(const target_member &Target,
                                   mono_time Now) const;
-  //! Whether the target may be granted more slots.
+  //! Whether the target may be granted more slots. It may not if a later
+  //! process reports under its id.
   [[nodiscard]] bool mayReceiveSlots(const target_member &Target,
                                      mono_time Now) const;
   //! Log index up to which the target has taken over the slots granted to it.
@@ -190,6 +217,7 @@
   std::map<std::string, host_status, std::less<>> Hosts;
   std::map<std::string, target_status, std::less<>> Targets;
   std::map<std::string, called_target_status, std::less<>> CalledTargets;
+  former_holdings FormerMembers;
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/membership/member_planner.cpp
+++ b/src/pomeloswitch/membership/member_planner.cpp
@@ -107,21 +107,57 @@
   }
 }
 
-void planAnnouncedTarget(const cluster_state &State,
-                         const target_status &Status,
+//! Whether the process of \p Successor may take the place of the member, whose
+//! id or address it has. A report alone does not show that the member has
+//! ended: it may come from a writer that is no target of this deployment.
+//!
+//! A member that holds slots has ended if it refuses its grants or lets them
+//! expire. It is also taken to have ended if only the other process reports:
+//! one that does not check to whom a grant is addressed answers those of the
+//! member.
+bool mayReplace(const target_member &Member, const target_status &Successor,
+                const lease_table &Leases, mono_time Now) {
+  const bool SameId = Member.TargetId == Successor.Announced.TargetId;
+  const bool SameAddress = Member.Address == Successor.Announced.Address;
+  // With both the same, a call to the member reaches whichever process is up.
+  if (SameId == SameAddress)
+    return true;
+  if (!Leases.mayHoldSlots(Member, Now))
+    return true;
+  const target_status *Heard = Leases.findTarget(Member.TargetId);
+  return Heard && Heard->Announced.Incarnation == Member.Incarnation &&
+         Successor.HeardAt - Heard->HeardAt >
+             Leases.times().CalledTargetMaxSilence;
+}
+
+//! Whether the process may join as far as the grants of earlier ones allow. The
+//! slots of a former member with its id would else count as held by it.
+bool grantsAllowJoin(const cluster_state &State, const lease_table &Leases,
+                     const target_status &Successor, mono_time Now) {
+  if (Leases.formerMemberHoldsSlots(Successor.Announced.TargetId))
+    return false;
+  return std::all_of(State.targets().begin(), State.targets().end(),
+                     [&](const auto &Entry) {
+                       return mayReplace(Entry.second, Successor, Leases, Now);
+                     });
+}
+
+void planAnnouncedTarget(const cluster_state &State, const lease_table &Leases,
+                         const target_status &Status, mono_time Now,
                          std::vector<wire::command> &Commands) {
   const target_member &Announced = Status.Announced;
   const auto Member = State.targets().find(Announced.TargetId);
   const bool Known = Member != State.targets().end();
   if (!Known || Member->second.Incarnation != Announced.Incarnation) {
-    // The earlier process has ended. It stays a member until its slots are
+    // An earlier process that has ended stays a member until its slots are
     // released, since its successor may have taken grants that were meant for
     // it.
     if (Known && Announced.Leaving && !Member->second.Leaving &&
         Announced.Incarnation > Member->second.Incarnation)
       Commands.push_back(markLeaving(Member->second));
     else if (!Announced.Leaving && serviceInForce(State, Announced) &&
-             State.mayJoin(Announced))
+             State.mayJoin(Announced) &&
+             grantsAllowJoin(State, Leases, Status, Now))
       Commands.push_back(joinTarget(Announced));
     return;
   }
@@ -142,7 +178,7 @@
   planHosts(State, Leases, Now, Commands);
   for (const auto &[Id, Status] : Leases.targets())
     if (!Leases.targetExpired(Id, Now))
-      planAnnouncedTarget(State, Status, Commands);
+      planAnnouncedTarget(State, Leases, Status, Now, Commands);
   // The slots of a target that is no longer a member count as released.
   for (const auto &[Id, Member] : State.targets())
     if (Leases.targetExpired(Id, Now) && Leases.targetReleased(Member, Now))
--- a/src/pomeloswitch/ownership/order_scheduler.cpp
+++ b/src/pomeloswitch/ownership/order_scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -31,6 +32,12 @@
                                                            : nullptr;
 }
 
+//! Whether the slot is being revoked from an owner that is no longer a member.
+bool hasFormerOwner(const cluster_state &State, const slot_ownership &Slot) {
+  return Slot.Phase == slot_phase::Revoking && Slot.OwnerChecksFence &&
+         !State.targets().contains(Slot.Owner);
+}
+
 } // namespace
 
 //! Returns when a grant whose call ended at \p CallEnd has certainly expired.
@@ -51,7 +58,8 @@
     const auto Table = State.sharedSlots(Service);
     auto &Slots = grantStatesOf(Service, Table->size());
     for (std::size_t Number = 0; Number < Table->size(); ++Number)
-      if (calledOwner(State, (*Table)[Number]))
+      if (calledOwner(State, (*Table)[Number]) ||
+          hasFormerOwner(State, (*Table)[Number]))
         Slots[Number].UnansweredUntil = latestGrantEnd(Now + Times.CallTimeout);
   }
 }
@@ -452,6 +460,7 @@
                                    lease_table &Leases, mono_time Now) const {
   std::map<std::string, called_target_status> Statuses;
   std::set<std::string> Owners;
+  former_holdings Former;
   for (const auto &[Id, Member] : State.targets())
     if (Member.OrderedByCall) {
       called_target_status &Status = Statuses[Id];
@@ -467,10 +476,14 @@
     const std::size_t Parts = Table->size() / Slots.size();
     for (std::uint32_t Number = 0; Number < Table->size(); ++Number) {
       const slot_ownership &Slot = (*Table)[Number];
+      const slot_grant_state &Grants = Slots[Number / Parts];
+      if (hasFormerOwner(State, Slot) && Now <= mayServeUntil(Grants, Now)) {
+        Former.Slots[Name].insert(Number);
+        Former.Holders.insert(Slot.Owner);
+      }
       if (!calledOwner(State, Slot))
         continue;
-      addSlotStatus(Name, Number, Slot, Slots[Number / Parts], Now,
-                    Statuses[Slot.Owner]);
+      addSlotStatus(Name, Number, Slot, Grants, Now, Statuses[Slot.Owner]);
       if (isOwned(Slot))
         Owners.insert(Slot.Owner);
     }
@@ -479,6 +492,7 @@
     addTargetStatus(Id, Owners.contains(Id), Now, Status);
     Leases.updateCalledTarget(Id, Status);
   }
+  Leases.updateFormerMembers(std::move(Former));
 }
 
 } // namespace pomelo
--- a/src/pomeloswitch/ownership/order_scheduler.hpp
+++ b/src/pomeloswitch/ownership/order_scheduler.hpp
@@ -89,9 +89,9 @@
   explicit order_scheduler(order_times Times) : Times(Times) {}
 
   //! Starts a term as leader. Grants of an earlier leader may still be valid
-  //! and its last calls may still be under way, so every slot owned by a target
-  //! that is ordered by calls counts as granted by a call that begins now and
-  //! gets no answer.
+  //! and its last calls may still be under way, so every slot of a target that
+  //! is ordered by calls, or of one that is no longer a member, counts as
+  //! granted by a call that begins now and gets no answer.
   void startTerm(const cluster_state &State, mono_time Now);
 
   //! Returns the calls to make now and counts them as in flight. The result of
@@ -104,7 +104,8 @@
   bool recordResult(const target_order &Order, const order_result &Result,
                     mono_time Now);
 
-  //! Updates in \p Leases the status of every target that is ordered by calls.
+  //! Updates in \p Leases the status of every target that is ordered by calls
+  //! and the slots of those that are no longer members.
   void updateLeases(const cluster_state &State, lease_table &Leases,
                     mono_time Now) const;
 
--- a/src/pomeloswitch/ownership/slot_planner.cpp
+++ b/src/pomeloswitch/ownership/slot_planner.cpp
@@ -220,16 +220,16 @@
                                                    longestDeadline(), Now);
   }
 
-  //! An owner that is no longer a member has released its slots: a member
-  //! leaves only after its lease has expired or, if it is ordered by calls,
-  //! after its process has ended or its grants have expired. So has an owner
-  //! whose incarnation was replaced, unless it is ordered by calls: its
-  //! successor may have taken grants that were meant for it.
+  //! An owner that is no longer a member has released its slots if it was not
+  //! ordered by calls, since its lease has expired, or else once its grants
+  //! have expired: another process may have reported under its address. So has
+  //! an owner whose incarnation was replaced, unless it is ordered by calls:
+  //! its successor may have taken grants that were meant for it.
   bool fencingOwnerReleased(std::uint32_t Number,
                             const slot_ownership &Slot) const {
     const auto Owner = State.targets().find(Slot.Owner);
     if (Owner == State.targets().end())
-      return true;
+      return !Leases.heldByFormerMember(Service.Name, Number);
     if (Owner->second.Incarnation != Slot.OwnerIncarnation &&
         !Owner->second.OrderedByCall)
       return true;
--- a/tests/ownership/ownership_simulation_test.cpp
+++ b/tests/ownership/ownership_simulation_test.cpp
@@ -87,6 +87,8 @@
       Faulty = WithFaults;
       if (Faulty && oneIn(FaultInterval / Step))
         causeFault();
+      if (Faulty && HearsForeignReports && oneIn(FaultInterval / Step))
+        sendForeignReport();
       deliver();
       sendReports();
       if (Leader && Now >= Leader->StalledUntil)
@@ -161,6 +163,23 @@
       Leader->Leases.targetHeard(Status, Cluster.State.index());
   }
 
+  //! Reports of a writer that is no target, with a later start than those of
+  //! all processes and with the address or the id of one of them, or both.
+  void sendForeignReport() {
+    const process *Claimed = processAt(addressOf(below(Addresses)));
+    if (!Claimed)
+      return;
+    target_status Status;
+    Status.Announced = Claimed->Member;
+    Status.Announced.Incarnation = Status.Announced.StartedMs = ++LastStart;
+    Status.Sequence = 1;
+    if (oneIn(2))
+      Status.Announced.TargetId = "f" + std::to_string(LastStart);
+    else if (oneIn(2))
+      Status.Announced.Address = addressOf(below(Addresses));
+    after(UsualDelay, [this, Status] { receive(Status); });
+  }
+
   // Faults
 
   void causeFault() {
@@ -425,6 +444,7 @@
   std::multimap<mono_time, std::function<void()>> Events;
   bool Faulty = true;
   bool DividesSlots = false;
+  bool HearsForeignReports = false;
   unsigned Failures = 0;
 
   void checkAllServed() {
@@ -463,6 +483,15 @@
   EXPECT_EQ(Cluster.State.sharedSlots("archive")->size(), FinestSlots);
 }
 
+// Guards against two holders of a key when reports of other writers name the
+// addresses and ids of targets that are up (OWNER, review/6).
+TEST_P(ownership_simulation, holds_while_other_writers_report) {
+  HearsForeignReports = true;
+  runFor(Troubled, true);
+  runFor(Calm, false);
+  checkAllServed();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, ownership_simulation, testing::Range(1U, 61U));
 
 } // namespace
--- a/tests/platform/control_api_test.cpp
+++ b/tests/platform/control_api_test.cpp
@@ -93,7 +93,7 @@
                    const std::string &State = "ready") {
   return fmt::format(
       R"({{"address": "{}", "born": {}, "information": {{"service": "s",
-           "zone": "a", "slots": 4}}, "status": {{"state": "{}",
+           "version": "v1", "zone": "a", "slots": 4}}, "status": {{"state": "{}",
            "sequence": 1, "cold_remaining_s": 0}}}})",
       Address, Born, State);
 }
@@ -172,7 +172,7 @@
                      R"({"born": 3})"},
         leaving_call{"draining_report_of_the_same_start", HeartbeatPath + "t1",
                      R"({"address": "127.0.0.1:4001", "born": 2,
-                         "information": {"service": "s", "zone": "a",
+                         "information": {"service": "s", "version": "v1", "zone": "a",
                                          "slots": 4},
                          "status": {"state": "draining", "sequence": 2,
                                     "cold_remaining_s": 0}})"},
--- a/tests/platform/report_codec_test.cpp
+++ b/tests/platform/report_codec_test.cpp
@@ -154,6 +154,34 @@
                     oddId("long", std::string(16000, 'i'))),
     ReportCaseName);
 
+odd_report withoutField(const std::string &Name, const std::string &Field) {
+  return {Name + "_missing", Field, ""};
+}
+
+odd_report oddVersion(const std::string &Name, const std::string &Version) {
+  return {"version_" + Name, "\"version\": \"v1\"", "\"version\": " + Version};
+}
+
+// Guards against a report that is not whole and displaces the target at its
+// address, whose keys then have two owners (OWNER, review/6).
+INSTANTIATE_TEST_SUITE_P(
+    fields, odd_target_report,
+    testing::Values(withoutField("version", "\"version\": \"v1\", "),
+                    withoutField("service", "\"service\": \"s\", "),
+                    withoutField("zone", "\"zone\": \"a\","),
+                    withoutField("address", "\"address\": \"10.0.0.1:8080\", "),
+                    withoutField("born", "\"born\": 1764835200000,"),
+                    withoutField("state", "\"state\": \"ready\", "),
+                    withoutField("sequence", "\"sequence\": 7,"),
+                    oddVersion("number", "7"), oddVersion("null", "null"),
+                    oddVersion("list", "[\"v1\"]"), oddVersion("object", "{}"),
+                    odd_report{"zone_empty", "\"a\"", "\"\""},
+                    odd_report{"zone_number", "\"a\"", "1"},
+                    odd_report{"service_list", "\"s\"", "[\"s\"]"},
+                    odd_report{"information_list", "{\"service\"",
+                               "[1], \"x\": {\"service\""}),
+    ReportCaseName);
+
 TEST(target_report, names_one_address_in_one_way) {
   std::string Body = makeReport();
   Body.replace(Body.find("8080"), 4, "08080");
