--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/raft/raft_log.hpp"
 #include "pomeloswitch/state/command_urgency.hpp"
 #include "pomeloswitch/state/committed_command.hpp"
+#include "pomeloswitch/state/config_changes.hpp"
 #include "pomeloswitch/state/configuration_packing.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
@@ -40,6 +41,12 @@
 constexpr milliseconds RolloutInterval{100};
 //! After it nobody waits for a change that was sent to the leader.
 constexpr milliseconds ForwardedChangeTimeout{5000};
+//! How long a call may have waited unread for its change to count as new.
+constexpr milliseconds LongestUnread{300};
+//! In which a host that was stalled reads the calls that waited.
+constexpr milliseconds StallAftermath{250};
+//! Age of a leader's stamp up to which it carries out the change that bears it.
+constexpr milliseconds LongestForwarding = ChangePatience - LongestUnread;
 constexpr milliseconds ActivityLogInterval{5000};
 
 //! In the order of control_activity.
@@ -113,7 +120,8 @@
       Log(std::move(GivenLog)), Leases(leaseTimesOf(Settings)),
       Rates(Leases.times()), Planner(planner_limits()),
       Rollouts(Settings.Exposure), Orders(targetOrderTimes(Settings)),
-      Feed(State, *Log), Caller(std::move(GivenCaller)), Ticker(Io) {
+      Feed(State, *Log), Caller(std::move(GivenCaller)), Ticker(Io),
+      Stalls(LongestUnread, StallAftermath) {
   peer_link::handlers Handlers;
   Handlers.OnOpen = [this](const std::shared_ptr<peer_link> &Link) {
     Sessions.emplace(Link, std::make_unique<session>());
@@ -244,6 +252,9 @@
 //! An operator's call that meets a follower needs no second connection, and no
 //! second response that may be lost.
 bool control_host::submitChange(wire::command Command, change_completion Done) {
+  if (Stalls.mayHaveWaited(lease_clock::now()))
+    throw pomelo_error(error_kind::NoQuorum,
+                       "this host was stalled; send the change again");
   if (Log->leadershipConfirmed()) {
     proposeChange(std::move(Command), std::move(Done));
     return true;
@@ -258,6 +269,9 @@
       fmt::format("{}/{}/{}", Settings.HostId, unixNowMs(), ++LastForwarded));
   wire::envelope Message;
   *Message.mutable_proposal()->mutable_command() = Command;
+  const leader_stamp Stamp = Log->latestStamp();
+  Message.mutable_proposal()->mutable_leader_stamp()->set_term(Stamp.Term);
+  Message.mutable_proposal()->mutable_leader_stamp()->set_sent_at(Stamp.SentAt);
   if (!Log->sendToLeader(Message))
     return false;
   ForwardedChanges[Command.operation_id()] = {Now, std::move(Done)};
@@ -300,8 +314,24 @@
   }
 }
 
+//! Links may deliver what was sent long ago, e.g. after a partition. The sender
+//! took the change later than the leader gave out the stamp, so its age is
+//! bounded without comparing the clocks of two hosts.
+bool control_host::isOverdue(const wire::proposal &Proposal) const {
+  if (!config_changes::isConfigChange(Proposal.command()))
+    return false;
+  const auto Age = Log->ageOf(
+      {Proposal.leader_stamp().term(), Proposal.leader_stamp().sent_at()});
+  return !Age || *Age > LongestForwarding;
+}
+
 void control_host::onProposal(const std::shared_ptr<peer_link> &Link,
                               const wire::proposal &Proposal) {
+  if (isOverdue(Proposal)) {
+    Logger.warn("Refused an operator's change that was long on its way ({}).",
+                Proposal.command().operation_id());
+    return;
+  }
   const std::uint64_t RequestId = Proposal.request_id();
   proposeChange(Proposal.command(), [this, Link,
                                      RequestId](const apply_result &Result,
@@ -357,6 +387,7 @@
     if (Error)
       return;
     const mono_time Now = steady_clock::now();
+    Stalls.tick(lease_clock::now());
     updateMembers();
     MostTickDelay = std::max(MostTickDelay, Now - Ticker.expiry());
     lead(Now);
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -4,6 +4,7 @@
 #define POMELOSWITCH_CONTROL_CONTROL_HOST_HPP
 
 #include "pomeloswitch/admission/rate_ledger.hpp"
+#include "pomeloswitch/clock/stall_detector.hpp"
 #include "pomeloswitch/control/admin_api.hpp"
 #include "pomeloswitch/control/state_feed.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
@@ -57,6 +58,11 @@
 //! Durations of the calls to targets under the given settings.
 [[nodiscard]] order_times targetOrderTimes(const control_settings &Settings);
 
+//! How long an operator's change may take. Its caller then counts it as not
+//! carried out and may give newer orders through other hosts, so that it must
+//! not take effect later.
+inline constexpr milliseconds ChangePatience{900};
+
 class control_host final : public admin_backend {
 public:
   class builder;
@@ -76,7 +82,9 @@
 
   //! Proposes an operator's change, at the leader if this host does not lead.
   //! \p Done is called once this host has applied it, and not at all if it is
-  //! lost on its way. Returns false if no leader can be reached.
+  //! lost or late on its way: the leader refuses one that was submitted more
+  //! than ChangePatience ago. Returns false if no leader can be reached.
+  //! \throws pomelo_error NoQuorum if the call may have waited unread for long.
   bool submitChange(wire::command Command, change_completion Done);
 
   // admin_backend
@@ -115,6 +123,7 @@
   void forwardReports();
   void onProposal(const std::shared_ptr<peer_link> &Link,
                   const wire::proposal &Proposal);
+  [[nodiscard]] bool isOverdue(const wire::proposal &Proposal) const;
   void sendLog(peer_link &Link, session &Session);
   void sendLogToAll(mono_time Now);
   void scheduleSendLog();
@@ -183,6 +192,7 @@
   bool SendLogScheduled = false;
   bool LogUrgent = false; //!< The log has an urgent entry that was not sent.
   mono_time LastTickAt{};
+  stall_detector Stalls;
   mono_time::duration MostTickDelay{0}; //!< Since the activity was logged.
   mono_time ActivityLoggedAt{};
 };
--- a/src/pomeloswitch/raft/local_log.hpp
+++ b/src/pomeloswitch/raft/local_log.hpp
@@ -22,6 +22,11 @@
   [[nodiscard]] std::string leaderId() const override { return HostId; }
   [[nodiscard]] bool leaderReachable() const override { return false; }
   bool sendToLeader(const wire::envelope &) override { return false; }
+  [[nodiscard]] leader_stamp latestStamp() const override { return {}; }
+  [[nodiscard]] std::optional<std::chrono::nanoseconds>
+  ageOf(const leader_stamp &) const override {
+    return std::nullopt;
+  }
   [[nodiscard]] std::uint64_t commitIndex() const override {
     return Entries.size();
   }
--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -7,6 +7,7 @@
 #define POMELOSWITCH_RAFT_RAFT_CORE_HPP
 
 #include "pomeloswitch/raft/entry_log.hpp"
+#include "pomeloswitch/raft/leader_stamp.hpp"
 #include "pomeloswitch/raft/raft_types.hpp"
 #include "pomeloswitch/raft/rollback_detector.hpp"
 #include "pomeloswitch/settings/common_settings.hpp"
@@ -91,6 +92,12 @@
     return Role == raft_role::Follower && !LeaderId.empty() &&
            Now - LastLeaderContact < Options.Times.ElectionMin;
   }
+  //! Returns the stamp of the leader's latest message.
+  [[nodiscard]] leader_stamp latestStamp() const { return LatestStamp; }
+  //! Returns how long ago this host sent the message with this stamp, or
+  //! nothing if it has not led since then.
+  [[nodiscard]] std::optional<raft_time::duration>
+  ageOf(const leader_stamp &Stamp, raft_time Now) const;
   [[nodiscard]] std::uint64_t commitIndex() const { return Commit; }
   [[nodiscard]] const entry_log &log() const { return Log; }
   //! Returns whether this replica has never stored a vote, entry or snapshot.
@@ -241,6 +248,7 @@
   raft_time StartedAt;
   raft_time ElectionDue;
   raft_time LastLeaderContact;
+  leader_stamp LatestStamp;
   raft_time HeartbeatDue{};
   raft_time LeaderSince{};
   std::set<std::string> Votes;
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -375,6 +375,14 @@
   return leaderReachable() && Network.sendTo(Core.leaderId(), Message);
 }
 
+leader_stamp raft_log::latestStamp() const { return Core.latestStamp(); }
+
+std::optional<std::chrono::nanoseconds>
+raft_log::ageOf(const leader_stamp &Stamp) const {
+  return leadershipConfirmed() ? Core.ageOf(Stamp, lease_clock::now())
+                               : std::nullopt;
+}
+
 std::uint64_t raft_log::commitIndex() const {
   return std::max(Core.commitIndex(), Applied);
 }
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -68,6 +68,9 @@
   [[nodiscard]] std::string leaderId() const override;
   [[nodiscard]] bool leaderReachable() const override;
   bool sendToLeader(const wire::envelope &Message) override;
+  [[nodiscard]] leader_stamp latestStamp() const override;
+  [[nodiscard]] std::optional<std::chrono::nanoseconds>
+  ageOf(const leader_stamp &Stamp) const override;
   [[nodiscard]] std::uint64_t commitIndex() const override;
   [[nodiscard]] std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t First, std::size_t MaxBytes) const override;
--- a/src/pomeloswitch/raft/raft_replication.cpp
+++ b/src/pomeloswitch/raft/raft_replication.cpp
@@ -76,6 +76,7 @@
     return answerAppend(Message, false, Log.lastIndex());
   becomeFollower(Message.term(), Message.from_host(), Now);
   LastLeaderContact = Now;
+  LatestStamp = {Message.term(), Request.sent_at()};
   JoinRefusal.clear();
   const auto KnownTerm = Log.termAt(Request.previous_index());
   if (Request.previous_index() >= Log.firstIndex() - 1 &&
@@ -95,6 +96,13 @@
   answerAppend(Message, true, Last);
 }
 
+std::optional<raft_time::duration> raft_core::ageOf(const leader_stamp &Stamp,
+                                                    raft_time Now) const {
+  if (Role != raft_role::Leader || Stamp.Term != term())
+    return std::nullopt;
+  return Now - fromTicks(Stamp.SentAt);
+}
+
 //! Skips entries that the log already contains, because a delayed message must
 //! not truncate entries that were appended after it was sent.
 void raft_core::acceptEntries(const wire::append_request &Request) {
@@ -169,6 +177,7 @@
     return answerAppend(Message, false, Log.lastIndex());
   becomeFollower(Message.term(), Message.from_host(), Now);
   LastLeaderContact = Now;
+  LatestStamp = {Message.term(), Message.snapshot_request().sent_at()};
   const wire::raft_snapshot &NewSnapshot =
       Message.snapshot_request().snapshot();
   if (NewSnapshot.index() > Commit) {
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -3,8 +3,10 @@
 #define POMELOSWITCH_RAFT_REPLICATED_LOG_HPP
 
 #include "pomeloswitch/errors/error_kind.hpp"
+#include "pomeloswitch/raft/leader_stamp.hpp"
 #include "pomeloswitch/settings/common_settings.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -91,6 +93,13 @@
   //! after true the message may still be lost.
   virtual bool sendToLeader(const wire::envelope &Message) = 0;
 
+  //! Returns the stamp of the latest message from the leader.
+  [[nodiscard]] virtual leader_stamp latestStamp() const = 0;
+  //! Returns how long ago this host gave out the stamp, or nothing if it was
+  //! another host or this one has not led since then.
+  [[nodiscard]] virtual std::optional<std::chrono::nanoseconds>
+  ageOf(const leader_stamp &Stamp) const = 0;
+
   //! Returns committed entries from index \p First on, stopping once their
   //! commands reach \p MaxBytes. Returns nullopt if the entry at \p First was
   //! already compacted away.
--- a/tests/control/idle_log.hpp
+++ b/tests/control/idle_log.hpp
@@ -17,7 +17,8 @@
 public:
   void start(applier Given) override { Applier = std::move(Given); }
   void stop() override {}
-  void propose(std::string, completion Done) override {
+  void propose(std::string Command, completion Done) override {
+    Proposed.push_back(std::move(Command));
     Done({error_kind::NotLeader, 0});
   }
   [[nodiscard]] bool leading() const override { return Leads; }
@@ -28,6 +29,13 @@
     Sent.push_back(Message);
     return Reachable;
   }
+  [[nodiscard]] leader_stamp latestStamp() const override { return Stamp; }
+  [[nodiscard]] std::optional<std::chrono::nanoseconds>
+  ageOf(const leader_stamp &Given) const override {
+    if (Given.Term != Stamp.Term)
+      return std::nullopt;
+    return std::chrono::nanoseconds(Stamp.SentAt - Given.SentAt);
+  }
   [[nodiscard]] std::uint64_t commitIndex() const override { return 0; }
   [[nodiscard]] std::optional<std::vector<committed_entry>>
   entriesFrom(std::uint64_t, std::size_t) const override {
@@ -47,6 +55,8 @@
   bool Leads = false;
   bool Reachable = true; //!< Whether the leader is.
   std::vector<wire::envelope> Sent;
+  std::vector<std::string> Proposed;
+  leader_stamp Stamp; //!< The latest one, also if it leads.
 };
 
 } // namespace pomelo
--- a/tests/platform/forwarded_change_test.cpp
+++ b/tests/platform/forwarded_change_test.cpp
@@ -9,6 +9,7 @@
 
 #include <exception>
 #include <optional>
+#include <thread>
 
 namespace pomelo::platform {
 namespace {
@@ -90,6 +91,27 @@
   EXPECT_TRUE(Host->state().drainedDomains().contains("a"));
 }
 
+TEST_F(forwarded_change, bears_the_stamp_of_the_leaders_latest_message) {
+  Log->Stamp = {7, 1234};
+  post("a");
+  ASSERT_EQ(Log->Sent.size(), 1U);
+  EXPECT_EQ(Log->Sent[0].proposal().leader_stamp().term(), 7U);
+  EXPECT_EQ(Log->Sent[0].proposal().leader_stamp().sent_at(), 1234U);
+}
+
+// Guards against an order that lay unread while this process was stopped and
+// undoes newer ones (EVAC, review/7 with VARIANT=freeze).
+TEST_F(forwarded_change, is_not_sent_if_it_may_have_waited_unread) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  post("a");
+  EXPECT_TRUE(Failure);
+  EXPECT_TRUE(Log->Sent.empty());
+  Io.run_for(std::chrono::milliseconds(300));
+  Ended = false;
+  post("a");
+  EXPECT_EQ(Log->Sent.size(), 1U);
+}
+
 TEST_F(forwarded_change, is_refused_as_by_the_leader) {
   post("unknown");
   commit();
--- a/tests/raft/raft_core_test.cpp
+++ b/tests/raft/raft_core_test.cpp
@@ -95,6 +95,29 @@
   EXPECT_NE(core(Leader).role(), raft_role::Leader);
 }
 
+// Guards against a leader that takes a change of long ago for a new one (EVAC,
+// review/7).
+TEST_F(raft_of_three, a_follower_that_is_cut_off_keeps_an_ageing_stamp) {
+  const auto AgeOfItsStamp = [this] {
+    return core(Leader).ageOf(core(Other).latestStamp(), Group.Now);
+  };
+  ASSERT_TRUE(AgeOfItsStamp());
+  EXPECT_LT(*AgeOfItsStamp(), raft_times().LeaderLease);
+  isolate(Other);
+  Group.runSteps(100);
+  ASSERT_EQ(core(Leader).role(), raft_role::Leader);
+  ASSERT_TRUE(AgeOfItsStamp());
+  EXPECT_GT(*AgeOfItsStamp(), std::chrono::milliseconds(900));
+}
+
+TEST_F(raft_of_three, a_stamp_counts_in_its_term_and_at_its_leader_only) {
+  leader_stamp Stamp = core(Other).latestStamp();
+  EXPECT_TRUE(core(Leader).ageOf(Stamp, Group.Now));
+  EXPECT_FALSE(core(Third).ageOf(Stamp, Group.Now));
+  --Stamp.Term;
+  EXPECT_FALSE(core(Leader).ageOf(Stamp, Group.Now));
+}
+
 TEST_F(raft_of_three, a_follower_that_returns_from_a_cut_disturbs_nobody) {
   isolate(Other);
   Group.runSteps(500);
