--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -6,9 +6,8 @@
 #include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
 #include "pomeloswitch/http/request_checks.hpp"
+#include "pomeloswitch/http/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -91,6 +90,25 @@
 
 } // namespace
 
+//! Counts a connection among those of its server for its own lifetime, which
+//! may be longer than that of the server.
+class caller_server::registration {
+public:
+  registration(std::shared_ptr<connection_set> GivenConnections,
+               std::shared_ptr<connection> GivenConnection)
+      : Connections(std::move(GivenConnections)),
+        Connection(std::move(GivenConnection)) {
+    Connections->insert(Connection);
+  }
+  ~registration() { Connections->erase(Connection); }
+  registration(const registration &) = delete;
+  registration &operator=(const registration &) = delete;
+
+private:
+  std::shared_ptr<connection_set> Connections;
+  std::shared_ptr<connection> Connection;
+};
+
 struct caller_server::connection {
   explicit connection(tcp::socket Socket) : Stream(std::move(Socket)) {}
 
@@ -103,7 +121,7 @@
                              const tcp::endpoint &Address, caller_limits Limits)
     : Context(Context), Acceptor(listenOn(Context.Io, Address)),
       Limits(Limits) {
-  asio::co_spawn(Context.Io, acceptLoop(), asio::detached);
+  spawn(Context.Io.get_executor(), acceptLoop(), "The callers' listener");
 }
 
 tcp::endpoint caller_server::address() const {
@@ -116,7 +134,7 @@
   // Cancels only the pending read and does not shut down the receiving side: a
   // request that arrives at this moment would take the end of input for a
   // disconnected caller.
-  for (const auto &Connection : Connections)
+  for (const auto &Connection : *Connections)
     if (!Connection->Serving && Connection->Buffer.size() == 0 &&
         peekInput(Connection->Stream.socket()) == input_state::Nothing)
       Connection->Stream.socket().cancel(Ignored);
@@ -130,27 +148,24 @@
     tcp::socket Socket = std::move(*Accepted);
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    if (Connections.size() >= Limits.Connections) {
-      asio::co_spawn(Context.Io,
-                     refuseConnection(std::move(Socket), Context.Dialect),
-                     asio::detached);
+    if (Connections->size() >= Limits.Connections) {
+      spawn(Context.Io.get_executor(),
+            refuseConnection(std::move(Socket), Context.Dialect),
+            "The refusal of a connection");
       continue;
     }
     auto Connection = std::make_shared<connection>(std::move(Socket));
-    asio::co_spawn(Context.Io, serve(std::move(Connection)), asio::detached);
+    spawn(Context.Io.get_executor(), serve(std::move(Connection)),
+          "A caller's connection");
   }
 }
 
+//! Closing the connection after an error signals an incomplete response to the
+//! caller.
 asio::awaitable<void>
 caller_server::serve(std::shared_ptr<connection> Connection) {
-  Connections.insert(Connection);
-  try {
-    co_await serveRequests(*Connection);
-  } catch (const boost::system::system_error &) {
-    // The caller disconnected or its response could not be completed. Closing
-    // the connection signals the incomplete response to the caller.
-  }
-  Connections.erase(Connection);
+  const registration Registered(Connections, Connection);
+  co_await serveRequests(*Connection);
 }
 
 asio::awaitable<void> caller_server::serveRequests(connection &Connection) {
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -38,10 +38,12 @@
   void beginStop();
 
   //! Whether no connection is open.
-  [[nodiscard]] bool idle() const { return Connections.empty(); }
+  [[nodiscard]] bool idle() const { return Connections->empty(); }
 
 private:
   struct connection;
+  class registration;
+  using connection_set = std::set<std::shared_ptr<connection>>;
 
   boost::asio::awaitable<void> acceptLoop();
   boost::asio::awaitable<void> serve(std::shared_ptr<connection> Connection);
@@ -54,7 +56,8 @@
   traffic_context &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
   caller_limits Limits;
-  std::set<std::shared_ptr<connection>> Connections;
+  std::shared_ptr<connection_set> Connections =
+      std::make_shared<connection_set>();
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -220,7 +220,8 @@
     cancel_on_disconnect(const cancel_on_disconnect &) = delete;
     cancel_on_disconnect &operator=(const cancel_on_disconnect &) = delete;
   } const CancelOnDisconnect(*this, Connection);
-  co_await Dispatch.send(Header, Plan.Route.MaxBodyBytes, Plan.Deadline);
+  co_await Dispatch.send(Header, Request.longValues(), Plan.Route.MaxBodyBytes,
+                         Plan.Deadline);
   observeCaller();
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -2,9 +2,8 @@
 
 #include "pomeloswitch/http/accept_next.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
+#include "pomeloswitch/http/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -80,10 +79,10 @@
 simple_server::simple_server(asio::io_context &Io, const tcp::endpoint &Address,
                              text_handler Handler)
     : Acceptor(Io, Address) {
-  asio::co_spawn(Io,
-                 acceptLoop(Acceptor, std::make_shared<const text_handler>(
-                                          std::move(Handler))),
-                 asio::detached);
+  spawn(Io.get_executor(),
+        acceptLoop(Acceptor,
+                   std::make_shared<const text_handler>(std::move(Handler))),
+        "The listener for small messages");
 }
 
 tcp::endpoint simple_server::address() const {
@@ -102,10 +101,9 @@
     auto Socket = co_await acceptNext(Acceptor);
     if (!Socket)
       continue;
-    // Errors on a connection end only that connection and are not reported.
     const auto Executor = Socket->get_executor();
-    asio::co_spawn(Executor, serve(std::move(*Socket), Handler),
-                   asio::detached);
+    spawn(Executor, serve(std::move(*Socket), Handler),
+          "A connection for small messages");
   }
 }
 
--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -43,6 +43,18 @@
   return statusClassOf(Response) == http::status_class::informational;
 }
 
+template <typename header>
+header withLongValues(const request_header &From,
+                      const long_values &LongValues) {
+  header Result;
+  static_cast<header_fields &>(Result) = From;
+  Result.method_string(From.method_string());
+  Result.target(From.target());
+  Result.version(From.version());
+  Result.setLongValues(LongValues);
+  return Result;
+}
+
 bool isParseError(error_code Error) {
   const bool FromParser =
       Error.category() == make_error_code(http::error::bad_version).category();
@@ -52,9 +64,11 @@
 
 } // namespace
 
-asio::awaitable<void> target_dispatch::send(const request_header &Header,
+asio::awaitable<void> target_dispatch::send(const request_header &GivenHeader,
+                                            const long_values &LongValues,
                                             std::uint64_t MaxBodyBytes,
                                             steady_time Deadline) {
+  const auto Header = withLongValues<relayed_header>(GivenHeader, LongValues);
   ResponseHasNoBody = Header.method() == http::verb::head;
   this->Deadline = Deadline;
   Connection.Stream.expires_at(Deadline);
@@ -68,9 +82,9 @@
 }
 
 asio::awaitable<void>
-target_dispatch::sendBuffered(const request_header &Header) {
+target_dispatch::sendBuffered(const relayed_header &Header) {
   using span_body = http::span_body<const char>;
-  http::request<span_body> Message(Header);
+  http::request<span_body, relayed_fields> Message(Header);
   const std::string_view Content = Body.prefix();
   Message.body() = {Content.data(), Content.size()};
   if (!Content.empty() || Header.count(http::field::content_length))
@@ -87,7 +101,7 @@
 
 //! Sends a body that is buffered, but large.
 asio::awaitable<void>
-target_dispatch::sendInPieces(const request_header &Header) {
+target_dispatch::sendInPieces(const relayed_header &Header) {
   paced_message Message(Header);
   Message.content_length(Body.prefix().size());
   Message.body().data = nullptr;
@@ -131,7 +145,7 @@
 
 //! Streams the body from the caller. If the target responds before the end of
 //! the body, e.g. with an error, both directions of the transfer stop.
-asio::awaitable<void> target_dispatch::streamBody(const request_header &Header,
+asio::awaitable<void> target_dispatch::streamBody(const relayed_header &Header,
                                                   std::uint64_t MaxBodyBytes) {
   paced_message Message(Header);
   if (!Body.length())
--- a/src/pomeloswitch/http/target_dispatch.hpp
+++ b/src/pomeloswitch/http/target_dispatch.hpp
@@ -59,7 +59,9 @@
 
   //! \p MaxBodyBytes is the route's limit; it is enforced while the body is
   //! streamed.
+  //! \p LongValues are those that placeholders in \p Header stand for.
   boost::asio::awaitable<void> send(const request_header &Header,
+                                    const long_values &LongValues,
                                     std::uint64_t MaxBodyBytes,
                                     steady_time Deadline);
 
@@ -82,16 +84,19 @@
 
 private:
   using paced_message =
-      boost::beast::http::request<boost::beast::http::buffer_body>;
+      boost::beast::http::request<boost::beast::http::buffer_body,
+                                  relayed_fields>;
   using paced_serializer =
-      boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
+      boost::beast::http::request_serializer<boost::beast::http::buffer_body,
+                                             relayed_fields>;
+  using relayed_header = boost::beast::http::request_header<relayed_fields>;
 
-  boost::asio::awaitable<void> sendBuffered(const request_header &Header);
-  boost::asio::awaitable<void> sendInPieces(const request_header &Header);
+  boost::asio::awaitable<void> sendBuffered(const relayed_header &Header);
+  boost::asio::awaitable<void> sendInPieces(const relayed_header &Header);
   boost::asio::awaitable<boost::system::error_code>
   writePiece(paced_message &Message, paced_serializer &Serializer,
              std::span<const char> Piece);
-  boost::asio::awaitable<void> streamBody(const request_header &Header,
+  boost::asio::awaitable<void> streamBody(const relayed_header &Header,
                                           std::uint64_t MaxBodyBytes);
   void recordSent(boost::system::error_code Error, bool Complete);
   boost::asio::awaitable<bool> readHeader();
--- a/tests/http/scripted_target.hpp
+++ b/tests/http/scripted_target.hpp
@@ -33,12 +33,15 @@
     if (Error)
       return {};
     ++Requests;
+    Header = Received.substr(0, Count);
     const auto First = Received.find(' ') + 1;
     std::string Target =
         Received.substr(First, Received.find(' ', First) - First);
     Received.erase(0, Count);
     return Target;
   }
+  //! The header of the latest request that was read.
+  [[nodiscard]] const std::string &header() const { return Header; }
   //! Reads the first \p Bytes of a request's body, or what comes of them.
   std::string readBody(std::size_t Bytes) {
     boost::system::error_code Error;
@@ -96,6 +99,7 @@
   boost::asio::ip::tcp::socket Socket;
   std::atomic<unsigned> &Requests;
   std::string Received;
+  std::string Header;
 };
 
 //! Runs a script for each connection, each on its own thread.
