Observing: a stop tells what is open, and a cut request leaves a line

Change: open_requests counts the requests of a traffic thread by phase; stop_began, listener_closed and stop_ended tell it, and request_cut names each request whose connection ends without a whole answer. The event loop is emptied before what its requests use is destroyed.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -335,8 +335,10 @@
   Log.info("Stopping; waiting for open requests to finish.");
   const milliseconds Notice(Settings.StopNoticeMs);
   const milliseconds Grace(Settings.StopGraceMs);
-  for (const auto &Thread : Threads)
+  for (const auto &Thread : Threads) {
     Thread->announceEnd(steady_clock::now() + Notice + Grace);
+    Thread->logOpenRequests("stop_began");
+  }
   // Keep accepting for a while: new callers arrive until the load balancer has
   // read the readiness endpoint.
   StopTimer.expires_after(Notice);
@@ -344,8 +346,10 @@
     if (Error)
       return;
     BusyThreads = Threads.size();
-    for (const auto &Thread : Threads)
+    for (const auto &Thread : Threads) {
+      Thread->logOpenRequests("listener_closed");
       Thread->beginStop([this] { asio::post(Io, [this] { onThreadIdle(); }); });
+    }
     StopTimer.expires_after(Grace);
     StopTimer.async_wait([this](boost::system::error_code GraceError) {
       if (!GraceError)
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
 
 #include <chrono>
 
@@ -37,6 +38,8 @@
   Io.stop();
   if (Thread.joinable())
     Thread.join();
+  writeOpenRequests("stop_ended");
+  Io.shutdown();
 }
 
 void traffic_thread::start() {
@@ -108,6 +111,24 @@
   });
 }
 
+void traffic_thread::logOpenRequests(std::string_view Step) {
+  boost::asio::post(Io, [this, Step] { writeOpenRequests(Step); });
+}
+
+void traffic_thread::writeOpenRequests(std::string_view Step) const {
+  const auto Now = std::chrono::steady_clock::now();
+  boost::json::object Phases;
+  for (const auto &[Phase, Count] : Context.OpenRequests.byPhase())
+    Phases[nameOf(Phase)] = Count;
+  const auto Oldest = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now - Context.OpenRequests.oldest().value_or(Now));
+  component_logger("entry").event(log_level::Info, Step,
+                                  {{"requests", Context.OpenRequests.size()},
+                                   {"connections", Server.connectionCount()},
+                                   {"phases", Phases},
+                                   {"oldest_ms", Oldest.count()}});
+}
+
 void traffic_thread::announceEnd(std::chrono::steady_clock::time_point EndsAt) {
   boost::asio::post(Io, [this, EndsAt] { Context.EndsAt = EndsAt; });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace pomelo {
@@ -71,6 +72,9 @@
   //! finished by then are refused.
   void announceEnd(std::chrono::steady_clock::time_point EndsAt);
 
+  //! Any thread: logs the open requests at a step of the host's stop.
+  void logOpenRequests(std::string_view Step);
+
   //! Any thread: stops accepting; \p OnIdle is called on the traffic thread
   //! once the last open request has been answered.
   void beginStop(std::function<void()> OnIdle);
@@ -117,7 +121,16 @@
   void dropEndedRollouts();
   void awaitIdle(std::function<void()> OnIdle);
 
-  boost::asio::io_context Io{1};
+  //! Can destroy its pending operations ahead of the members that they use.
+  class io_context : public boost::asio::io_context {
+  public:
+    using boost::asio::execution_context::shutdown;
+    using boost::asio::io_context::io_context;
+  };
+
+  void writeOpenRequests(std::string_view Step) const;
+
+  io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   routing_lease RoutingLease;
   traffic_context Context;
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -37,6 +37,9 @@
   //! completed.
   void beginStop();
 
+  [[nodiscard]] std::size_t connectionCount() const {
+    return Connections->size();
+  }
   //! Whether no connection is open.
   [[nodiscard]] bool idle() const { return Connections->empty(); }
 
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -44,9 +44,14 @@
                    beast::flat_buffer &CallerBuffer,
                    request_stream_parser &Request)
     : Context(Context), Caller(Caller), Request(Request), View(Context.View),
-      Body(Caller, CallerBuffer, Request),
+      Open(Context.OpenRequests), Body(Caller, CallerBuffer, Request),
       Telemetry(Request.get()["traceparent"], Context.Sending.Random) {}
 
+exchange::~exchange() {
+  if (!Complete && !CallerDisconnected)
+    logCut();
+}
+
 asio::awaitable<bool> exchange::run() {
   CallerKeepAlive = Request.get().keep_alive();
   std::optional<pomelo_error> Refusal;
@@ -66,6 +71,7 @@
     throwConnectionAborted();
   if (Refusal)
     co_await writeError(*Refusal);
+  Complete = true;
   if (!Request.is_done())
     co_await lingeringClose();
   co_return CallerKeepAlive;
@@ -85,6 +91,7 @@
     co_await awaitAccountAdmission(Context, Plan.Account, Plan.Deadline);
   AdmittedAt = steady_clock::now();
   Context.Retries.earn(Plan.Service, View->EntryHosts);
+  Open.enter(request_phase::Body);
   co_await continueIfExpected();
   co_await Body.readPrefix();
   rejectPoisonRequest();
@@ -132,6 +139,7 @@
   in_flight_table::in_flight_request InFlight;
   slot_owner Owner;
   try {
+    Open.enter(request_phase::Target);
     Owner = co_await awaitTarget();
     if (!History.maySendTo(Owner.Target->Member.TargetId,
                            Plan.Route.MaxTargets))
@@ -141,6 +149,7 @@
     const connection_requirement Requirement =
         Plan.Route.Idempotent ? connection_requirement::Any
                               : connection_requirement::RecentlyActive;
+    Open.enter(request_phase::Connection);
     auto Connection = co_await connect(*Owner.Target, Requirement);
     co_await dispatch(Owner, Connection, InFlight);
     InFlight.markSettled();
@@ -220,8 +229,10 @@
     cancel_on_disconnect(const cancel_on_disconnect &) = delete;
     cancel_on_disconnect &operator=(const cancel_on_disconnect &) = delete;
   } const CancelOnDisconnect(*this, Connection);
+  Open.enter(request_phase::Sending);
   co_await Dispatch.send(Header, Request.longValues(), Plan.Route.MaxBodyBytes,
                          Plan.Deadline);
+  Open.enter(request_phase::Response);
   observeCaller();
   if (CallerDisconnected && !Claim.ownsClaim())
     throwConnectionAborted();
@@ -362,6 +373,7 @@
 
 asio::awaitable<void> exchange::relayResponse(pooled_connection &Connection,
                                               target_dispatch &Dispatch) {
+  Open.enter(request_phase::Relaying);
   CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.Stopping;
   response_relay Relay(Caller, *Connection, Dispatch.response(),
                        Context.Dialect, Context.Sending.Link, Plan.Deadline);
@@ -382,6 +394,7 @@
 }
 
 asio::awaitable<void> exchange::writeResponse(text_response Response) {
+  Open.enter(request_phase::Answering);
   CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.EndsAt;
   Response.keep_alive(CallerKeepAlive);
   Caller.expires_after(CallerProgressTimeout);
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -35,6 +35,9 @@
   exchange(traffic_context &Context, boost::beast::tcp_stream &Caller,
            boost::beast::flat_buffer &CallerBuffer,
            request_stream_parser &Request);
+  ~exchange();
+  exchange(const exchange &) = delete;
+  exchange &operator=(const exchange &) = delete;
 
   //! Serves the request, whose header has already been read. Returns whether
   //! the caller's connection can be reused for another request.
@@ -67,6 +70,7 @@
   void noticeCallerGone();
   void checkCallerConnected() const;
   void observeCaller();
+  void logCut() const;
   void logOutcome(const std::optional<pomelo_error> &Refusal) const;
   void checkDispatchAllowed(const slot_owner &Owner) const;
   request_header dispatchHeader(const slot_owner &Owner);
@@ -89,6 +93,7 @@
   boost::beast::tcp_stream &Caller;
   request_stream_parser &Request;
   std::shared_ptr<const routing_view> View;
+  open_requests::registration Open;
   std::string RequestId; //!< Request id that the caller sent; may be empty.
   request_plan Plan;
   caller_body Body;
@@ -106,6 +111,7 @@
   //! When the account's rate admitted the request.
   std::optional<std::chrono::steady_clock::time_point> AdmittedAt;
   std::vector<std::string> TriedTargets;
+  bool Complete = false; //!< The request has its whole answer.
   bool CallerKeepAlive = true;
   bool CallerDisconnected = false;
   std::function<void()> OnCallerDisconnect;
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -115,6 +115,18 @@
                      Refusal ? "request_failed" : "request_served", Fields);
 }
 
+//! Logs a request whose connection ends without a whole answer.
+void exchange::logCut() const {
+  const auto Now = steady_clock::now();
+  requestLog().event(log_level::Warn, "request_cut",
+                     {{"request", RequestId},
+                      {"route", Plan.Route.Name},
+                      {"phase", nameOf(Open.phase())},
+                      {"took_ms", millisecondsOf(Now - StartedAt)},
+                      {"time_left_ms", millisecondsOf(Plan.Deadline - Now)},
+                      {"attempts", AttemptLog}});
+}
+
 void exchange::recordNotice(const slot_owner &Owner,
                             const target_dispatch &Dispatch) {
   const auto Now = steady_clock::now();
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/admission/host_quota.hpp"
 #include "pomeloswitch/clock/lease_clock.hpp"
 #include "pomeloswitch/http/in_flight_table.hpp"
+#include "pomeloswitch/http/open_requests.hpp"
 #include "pomeloswitch/http/target_dialect.hpp"
 #include "pomeloswitch/http/token_waiters.hpp"
 #include "pomeloswitch/http/upstream_pool.hpp"
@@ -78,6 +79,7 @@
   std::shared_ptr<const routing_view> View = std::make_shared<routing_view>();
   upstream_pool Pool;
   in_flight_table InFlightRequests;
+  open_requests OpenRequests;
   send_state Sending;
   retry_budget Retries;
   rollout_meter Rollouts;
