Tests: three ways in which a planned stop cuts requests (red)

Shown on the code before any change of logic, with real processes for the first two: a request that outlasts the stop is closed without an answer; a second SIGTERM or SIGINT ends the process at once, with all its requests (4 of 5 rows); connections in the listener's queue are reset.

--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -251,6 +251,33 @@
   EXPECT_NE(Answer.find("certificate"), std::string::npos);
 }
 
+// The listener's queue was reset when the listener was closed.
+TEST(exchange, serves_a_connection_that_was_not_accepted_when_the_stop_began) {
+  scripted_target Target([&](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.answer("certificate");
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  std::atomic<bool> Sent = false;
+  Traffic.beginStopOnce([&] { return Sent.load(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  boost::asio::io_context Io;
+  std::list<boost::asio::ip::tcp::socket> Sockets;
+  for (int Count = 0; Count < 3; ++Count) {
+    Sockets.emplace_back(Io).connect(parseEndpoint(Traffic.address()));
+    boost::asio::write(Sockets.back(),
+                       boost::asio::buffer(std::string(
+                           "GET /idempotent HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  Sent = true;
+  for (auto &Socket : Sockets) {
+    std::string Answer;
+    boost::system::error_code Ended;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ended);
+    EXPECT_TRUE(Answer.starts_with("HTTP/1.1 200")) << Answer << Ended;
+  }
+}
+
 TEST(exchange, completes_a_claimed_request_whose_caller_leaves) {
   std::atomic<bool> Arrived = false;
   std::atomic<bool> MayRespond = false;
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <thread>
+#include <vector>
 
 namespace pomelo::emulator {
 namespace {
@@ -56,5 +59,104 @@
   EXPECT_EQ(State == Late.Header.end() ? "" : State->second, "not_run");
 }
 
+//! An entry host whose stop lasts 1.5 s at most, before targets with more work.
+class short_stop : public testing::Test {
+protected:
+  void start(const std::string &WorkUs) {
+    deployment_plan Plan;
+    Plan.FailureDomains = {"a"};
+    Plan.EntrySettings = {{"stop_notice_ms", 500}, {"stop_grace_ms", 1000}};
+    Plan.Targets = {{"registry-a", "registry", "a", {"--work-us=" + WorkUs}}};
+    Deployment = deployment::builder().withPlan(Plan).build();
+    Key = Deployment->issueKey("large");
+    Journal = Deployment->journalOf("registry-a");
+    ASSERT_TRUE(
+        waitUntil([this] { return send("/certificates/first").Status == 200; },
+                  seconds(15)));
+  }
+
+  http_answer send(const std::string &Target) {
+    return call(Deployment->callerAddresses().front(),
+                {"POST",
+                 Target,
+                 {{"Authorization", "Bearer " + Key}},
+                 "body",
+                 seconds(15)});
+  }
+
+  //! Sends a request and returns once a target has begun it.
+  std::thread sendAndAwaitStart(http_answer &Answer) {
+    const auto Before = journalSize();
+    std::thread Caller([&] { Answer = send("/certificates/open"); });
+    EXPECT_TRUE(waitUntil([&] { return journalSize() > Before; }, seconds(5)));
+    return Caller;
+  }
+
+  [[nodiscard]] std::uintmax_t journalSize() const {
+    return std::filesystem::exists(Journal)
+               ? std::filesystem::file_size(Journal)
+               : 0;
+  }
+  child_process &host() { return *Deployment->at("a-e1").Process; }
+  std::string hostLog() {
+    std::ifstream File(Deployment->at("a-e1").LogFile);
+    return {std::istreambuf_iterator<char>(File), {}};
+  }
+
+  std::unique_ptr<deployment> Deployment;
+  std::string Key;
+  std::string Journal;
+};
+
+// The connection was closed without a word when the process ended.
+TEST_F(short_stop, answers_a_request_that_outlasts_the_stop) {
+  start("3000000");
+  http_answer Answer;
+  std::thread Caller = sendAndAwaitStart(Answer);
+  host().signal(SIGTERM);
+  Caller.join();
+  EXPECT_EQ(Answer.Status, 502) << Answer.Failure;
+  const auto State = Answer.Header.find("Pomelo-Run-State");
+  EXPECT_EQ(State == Answer.Header.end() ? "" : State->second, "unknown");
+  EXPECT_EQ(host().wait(seconds(3)), 0);
+  EXPECT_EQ(hostLog().find("request_cut"), std::string::npos);
+}
+
+struct signal_series {
+  std::string Name;
+  std::vector<int> Signals;
+};
+
+void PrintTo(const signal_series &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class repeated_stop : public short_stop,
+                      public testing::WithParamInterface<signal_series> {};
+
+// The second signal ended the process at once, with all its requests.
+TEST_P(repeated_stop, cuts_no_request) {
+  start("800000");
+  http_answer Answer;
+  std::thread Caller = sendAndAwaitStart(Answer);
+  for (const int Signal : GetParam().Signals) {
+    host().signal(Signal);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  Caller.join();
+  EXPECT_EQ(Answer.Status, 200) << Answer.Failure;
+  EXPECT_EQ(host().wait(seconds(3)), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    signals, repeated_stop,
+    testing::Values(
+        signal_series{"stop_twice", {SIGTERM, SIGTERM}},
+        signal_series{"stop_thrice", {SIGTERM, SIGTERM, SIGTERM}},
+        signal_series{"interrupt_after_stop", {SIGTERM, SIGINT}},
+        signal_series{"reload_after_stop", {SIGTERM, SIGHUP, SIGHUP}},
+        signal_series{"stop_after_reload", {SIGHUP, SIGTERM, SIGTERM}}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo::emulator
