LOST: what waits in the listener's queue at a stop is served

Callers saw: a reset, with a request sent and the host still serving. Cause: beginStop() closed the listener, which resets what its queue holds; a new connection also counted as open only once its coroutine ran, so that a host could count as idle in between. Change: the queue is emptied before the listener is closed, and a connection counts from its acceptance. Evidence: serves_a_connection_that_was_not_accepted_when_the_stop_began failed before (3 of 3 connections reset) and passes.

--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -104,6 +104,8 @@
   registration(const registration &) = delete;
   registration &operator=(const registration &) = delete;
 
+  [[nodiscard]] connection &connectionOf() const { return *Connection; }
+
 private:
   std::shared_ptr<connection_set> Connections;
   std::shared_ptr<connection> Connection;
@@ -129,6 +131,7 @@
 }
 
 void caller_server::beginStop() {
+  acceptWaiting();
   error_code Ignored;
   Acceptor.close(Ignored);
   // Cancels only the pending read and does not shut down the receiving side: a
@@ -140,32 +143,43 @@
       Connection->Stream.socket().cancel(Ignored);
 }
 
-asio::awaitable<void> caller_server::acceptLoop() {
-  while (Acceptor.is_open()) {
-    auto Accepted = co_await acceptNext(Acceptor);
-    if (!Accepted)
-      continue;
-    tcp::socket Socket = std::move(*Accepted);
-    error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
-    if (Connections->size() >= Limits.Connections) {
-      spawn(Context.Io.get_executor(),
-            refuseConnection(std::move(Socket), Context.Dialect),
-            "The refusal of a connection");
-      continue;
-    }
-    auto Connection = std::make_shared<connection>(std::move(Socket));
-    spawn(Context.Io.get_executor(), serve(std::move(Connection)),
-          "A caller's connection");
+//! Accepts what waits in the listener's queue, which its close would reset.
+void caller_server::acceptWaiting() {
+  error_code Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket(Context.Io);
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      admit(std::move(Socket));
   }
 }
 
+asio::awaitable<void> caller_server::acceptLoop() {
+  while (Acceptor.is_open())
+    if (auto Accepted = co_await acceptNext(Acceptor))
+      admit(std::move(*Accepted));
+}
+
+void caller_server::admit(tcp::socket Socket) {
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  if (Connections->size() >= Limits.Connections)
+    return spawn(Context.Io.get_executor(),
+                 refuseConnection(std::move(Socket), Context.Dialect),
+                 "The refusal of a connection");
+  // Registered before its coroutine runs: the server is not idle in between.
+  auto Registered = std::make_unique<registration>(
+      Connections, std::make_shared<connection>(std::move(Socket)));
+  spawn(Context.Io.get_executor(), serve(std::move(Registered)),
+        "A caller's connection");
+}
+
 //! Closing the connection after an error signals an incomplete response to the
 //! caller.
 asio::awaitable<void>
-caller_server::serve(std::shared_ptr<connection> Connection) {
-  const registration Registered(Connections, Connection);
-  co_await serveRequests(*Connection);
+caller_server::serve(std::unique_ptr<registration> Registered) {
+  co_await serveRequests(Registered->connectionOf());
 }
 
 asio::awaitable<void> caller_server::serveRequests(connection &Connection) {
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -49,7 +49,9 @@
   using connection_set = std::set<std::shared_ptr<connection>>;
 
   boost::asio::awaitable<void> acceptLoop();
-  boost::asio::awaitable<void> serve(std::shared_ptr<connection> Connection);
+  void acceptWaiting();
+  void admit(boost::asio::ip::tcp::socket Socket);
+  boost::asio::awaitable<void> serve(std::unique_ptr<registration> Registered);
   boost::asio::awaitable<void> serveRequests(connection &Connection);
   [[nodiscard]] const caller_bounds &callerBounds() const;
   //! Reads a request header. Returns false if the connection must be closed.
