LOST: a second stop signal does not end the process

Callers saw: all open requests of a host closed at once, without an answer. Cause: stopOnSignal() waited for one signal; its signal set was destroyed after it, which restores the signal's default action. The next SIGTERM or SIGINT ended the process within its stop (exit 143, 130), without a line in its log. Change: the signals stay caught to the end of the process, and each is logged. SIGKILL still ends a process at once.

--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -69,13 +69,27 @@
   }
 }
 
-void stopOnSignal(boost::asio::io_context &Io, std::function<void()> OnStop) {
-  auto Signals = std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT);
-  Signals->async_wait([Signals, OnStop = std::move(OnStop)](
-                          boost::system::error_code Error, int) {
-    if (!Error)
-      OnStop();
-  });
+namespace {
+
+//! Goes on waiting during the stop: an uncaught signal would end the process.
+void waitForStopSignal(const std::shared_ptr<boost::asio::signal_set> &Signals,
+                       const std::function<void()> &OnStop) {
+  Signals->async_wait(
+      [Signals, OnStop](boost::system::error_code Error, int Number) {
+        if (Error)
+          return;
+        component_logger("daemon").info("Signal {} received.", Number);
+        OnStop();
+        waitForStopSignal(Signals, OnStop);
+      });
+}
+
+} // namespace
+
+void stopOnSignal(boost::asio::io_context &Io,
+                  const std::function<void()> &OnStop) {
+  waitForStopSignal(
+      std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT), OnStop);
 }
 
 namespace {
--- a/src/pomeloswitch/cli/daemon.hpp
+++ b/src/pomeloswitch/cli/daemon.hpp
@@ -30,8 +30,9 @@
 //! down at the end.
 int runDaemon(std::string_view Name, const std::function<int()> &Main);
 
-//! Calls \p OnStop on \p Io at the first SIGTERM or SIGINT.
-void stopOnSignal(boost::asio::io_context &Io, std::function<void()> OnStop);
+//! Calls \p OnStop on \p Io at each SIGTERM and SIGINT, also during the stop.
+void stopOnSignal(boost::asio::io_context &Io,
+                  const std::function<void()> &OnStop);
 
 //! Calls \p OnReload on \p Io at each SIGHUP. Exceptions are logged, and the
 //! process continues with its current settings.
