LOST: a request that outlasts its host is answered before its end

Callers saw: a closed connection, while their target still worked, when their request was older than the stop and its deadline lay beyond the end of the process. Cause: boundByStop() bounds what is sent after the signal only. What had been sent before kept its deadline, and the end of the event loop closed it. Change: 200 ms before the process ends, each open request ends: one that was sent gets 502, outcome unknown, and frees its target; one that was not gets 503, not run. A response that is being relayed has the rest of the time. Such an end counts neither against the target nor as a crash. Evidence: answers_a_request_that_outlasts_the_stop failed before (no answer, request_cut in the log) and passes.

--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -69,7 +69,7 @@
   void wakeTokenWaiters();
 
   //! Any thread: tells when the process ends. Requests that would hardly be
-  //! finished by then are refused.
+  //! finished by then are refused; those still open shortly before are ended.
   void announceEnd(std::chrono::steady_clock::time_point EndsAt);
 
   //! Any thread: logs the open requests at a step of the host's stop.
@@ -137,6 +137,7 @@
   caller_server Server;
   boost::asio::steady_timer Ticker;
   boost::asio::steady_timer IdleTimer;
+  boost::asio::steady_timer EndTimer;
   std::atomic<std::uint64_t> PublishedQuiescedIndex{0};
   std::atomic<std::shared_ptr<const load_report>> Loads;
   steady_time NextLoadsAt{};
--- a/src/pomeloswitch/http/caller_body.cpp
+++ b/src/pomeloswitch/http/caller_body.cpp
@@ -38,7 +38,7 @@
       Request.content_length().value_or(FingerprintBodyBytes);
   Prefix.resize(std::min<std::uint64_t>(Expected, FingerprintBodyBytes));
   std::size_t Filled = 0;
-  while (!Request.is_done() && Filled < Prefix.size())
+  while (!Request.is_done() && Filled < Prefix.size() && !Interrupted)
     Filled += co_await readInto(std::span(Prefix).subspan(Filled));
   Prefix.resize(Filled);
 }
--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -45,7 +45,9 @@
                    request_stream_parser &Request)
     : Context(Context), Caller(Caller), Request(Request), View(Context.View),
       Open(Context.OpenRequests), Body(Caller, CallerBuffer, Request),
-      Telemetry(Request.get()["traceparent"], Context.Sending.Random) {}
+      Telemetry(Request.get()["traceparent"], Context.Sending.Random) {
+  Open.onEnd([this] { endWithHost(); });
+}
 
 exchange::~exchange() {
   if (!Complete && !CallerDisconnected)
@@ -94,6 +96,8 @@
   Open.enter(request_phase::Body);
   co_await continueIfExpected();
   co_await Body.readPrefix();
+  if (HostEnds)
+    throw pomelo_error(error_kind::Draining, HostStops);
   rejectPoisonRequest();
   bool Answered = false;
   observeCaller();
@@ -163,6 +167,11 @@
     InFlight.markSettled();
   if (CallerDisconnected)
     throwConnectionAborted();
+  if (HostEnds)
+    throw pomelo_error(LastProgress == attempt_progress::NothingSent
+                           ? error_kind::Draining
+                           : error_kind::OutcomeUnknown,
+                       HostStops);
   if (LastFailure == attempt_failure::ConnectionLost)
     co_await handleConnectionLoss(Owner.Target);
   if (!mayRetry(Failure->kind()))
@@ -213,22 +222,16 @@
     target_dispatch &Dispatch;
     steady_clock::time_point SentAt;
   } AttemptRecorder(*this, Owner, Dispatch);
-  // If the caller disconnects, the target's connection is closed to free the
-  // target. A claimed request is completed instead, since its caller is
-  // expected to retry and to receive the recorded response.
-  struct cancel_on_disconnect {
+  struct target_release {
     exchange &Exchange;
-    cancel_on_disconnect(exchange &Exchange, pooled_connection &Connection)
+    target_release(exchange &Exchange, pooled_connection &Connection)
         : Exchange(Exchange) {
-      Exchange.OnCallerDisconnect = [&Exchange, &Connection] {
-        if (!Exchange.Claim.ownsClaim())
-          Connection->Stream.close();
-      };
+      Exchange.GiveUpTarget = [&Connection] { Connection->Stream.close(); };
     }
-    ~cancel_on_disconnect() { Exchange.OnCallerDisconnect = nullptr; }
-    cancel_on_disconnect(const cancel_on_disconnect &) = delete;
-    cancel_on_disconnect &operator=(const cancel_on_disconnect &) = delete;
-  } const CancelOnDisconnect(*this, Connection);
+    ~target_release() { Exchange.GiveUpTarget = nullptr; }
+    target_release(const target_release &) = delete;
+    target_release &operator=(const target_release &) = delete;
+  } const TargetRelease(*this, Connection);
   Open.enter(request_phase::Sending);
   co_await Dispatch.send(Header, Request.longValues(), Plan.Route.MaxBodyBytes,
                          Plan.Deadline);
@@ -247,14 +250,15 @@
 
 //! Detects that the caller disconnects while its request is served. Starts only
 //! after the complete request was read; any further bytes belong to the next
-//! request.
+//! request. A claimed request is completed nevertheless, since its caller is
+//! expected to retry and to receive the recorded response.
 void exchange::observeCaller() {
   if (CallerObserver || !Request.is_done())
     return;
   CallerObserver.emplace(Caller.socket(), [this](input_state State) {
     CallerDisconnected = State == input_state::Ended;
-    if (CallerDisconnected && OnCallerDisconnect)
-      OnCallerDisconnect();
+    if (CallerDisconnected && GiveUpTarget && !Claim.ownsClaim())
+      GiveUpTarget();
   });
 }
 
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -51,6 +51,7 @@
   [[nodiscard]] bool mayPlanWithoutLease() const;
   void planAgain();
   void boundByStop();
+  void endWithHost();
   void admitBodyToLink();
   bool followConfiguration();
   boost::asio::awaitable<void> continueIfExpected();
@@ -67,6 +68,7 @@
   boost::asio::awaitable<slot_owner> awaitTarget();
   boost::asio::awaitable<std::optional<slot_owner>> awaitPlannedTarget();
   [[nodiscard]] pending_request makePendingRequest() const;
+  [[nodiscard]] bool givenUp() const { return CallerDisconnected || HostEnds; }
   void noticeCallerGone();
   void checkCallerConnected() const;
   void observeCaller();
@@ -114,7 +116,9 @@
   bool Complete = false; //!< The request has its whole answer.
   bool CallerKeepAlive = true;
   bool CallerDisconnected = false;
-  std::function<void()> OnCallerDisconnect;
+  bool HostEnds = false; //!< The process ends before the request could.
+  //! Closes the target's connection, to free the target.
+  std::function<void()> GiveUpTarget;
   std::optional<input_observer> CallerObserver;
 };
 
--- a/src/pomeloswitch/http/exchange_planning.cpp
+++ b/src/pomeloswitch/http/exchange_planning.cpp
@@ -18,8 +18,6 @@
 using std::chrono::steady_clock;
 
 constexpr auto LeasePollInterval = milliseconds(10);
-//! Left at the end of the process for passing on the last responses.
-constexpr auto StopMargin = milliseconds(200);
 //! Time that a request needs on a route without a latency objective.
 constexpr auto DefaultNeed = milliseconds(1000);
 //! A new leader renews leases within this time.
@@ -74,12 +72,25 @@
                         ? milliseconds(Plan.Route.LatencyGoalMs)
                         : DefaultNeed;
   if (Left < Need)
-    throw pomelo_error(error_kind::Draining, "this entry host is stopping");
+    throw pomelo_error(error_kind::Draining, HostStops);
   const auto Cut = Plan.Deadline - (*Context.EndsAt - StopMargin);
   Plan.Deadline -= Cut;
   Plan.DeadlineUnixMs -= std::chrono::duration_cast<milliseconds>(Cut).count();
 }
 
+//! Ends the request shortly before the process does, so that its caller is
+//! still answered. A response that is being relayed has that time left.
+void exchange::endWithHost() {
+  if (Open.phase() == request_phase::Relaying ||
+      Open.phase() == request_phase::Answering)
+    return;
+  HostEnds = true;
+  if (!Request.is_done())
+    Body.interrupt();
+  if (GiveUpTarget)
+    GiveUpTarget();
+}
+
 //! Refuses a body that would not reach a target in time before it is read.
 void exchange::admitBodyToLink() {
   PendingBody = admitBody(Context.Sending.Link,
--- a/src/pomeloswitch/http/exchange_records.cpp
+++ b/src/pomeloswitch/http/exchange_records.cpp
@@ -52,9 +52,8 @@
 }
 
 //! Classifies the outcome of an attempt for the statistics of its target.
-send_outcome sendEndOf(const target_dispatch &Dispatch,
-                       bool CallerDisconnected) {
-  if (CallerDisconnected)
+send_outcome sendEndOf(const target_dispatch &Dispatch, bool GivenUp) {
+  if (GivenUp)
     return send_outcome::Inconclusive;
   if (Dispatch.metadata().WrongTarget)
     return send_outcome::Inconclusive;
@@ -172,9 +171,9 @@
   LastFailure = Dispatch.failureCause();
   History.recordOutcome(LastProgress != attempt_progress::NothingSent,
                         LastFailure == attempt_failure::ConnectionLost &&
-                            !CallerDisconnected);
+                            !givenUp());
   const auto Now = steady_clock::now();
-  const send_outcome End = sendEndOf(Dispatch, CallerDisconnected);
+  const send_outcome End = sendEndOf(Dispatch, givenUp());
   // Taken before the outcome is recorded: a lost connection makes the target
   // suspected of being cold, which must not hide that very loss.
   const routing_service *Service = Context.View->findService(Plan.Service);
--- a/src/pomeloswitch/http/open_requests.cpp
+++ b/src/pomeloswitch/http/open_requests.cpp
@@ -28,12 +28,18 @@
 
 open_requests::registration::registration(open_requests &Table) : Table(Table) {
   Table.Entries.push_back(
-      {request_phase::Admission, std::chrono::steady_clock::now()});
+      {request_phase::Admission, std::chrono::steady_clock::now(), {}});
   Entry = std::prev(Table.Entries.end());
 }
 
 open_requests::registration::~registration() { Table.Entries.erase(Entry); }
 
+void open_requests::end() {
+  for (const registration::entry &Entry : Entries)
+    if (Entry.OnEnd)
+      Entry.OnEnd();
+}
+
 std::map<request_phase, std::size_t> open_requests::byPhase() const {
   std::map<request_phase, std::size_t> Counts;
   for (const registration::entry &Entry : Entries)
--- a/src/pomeloswitch/http/open_requests.hpp
+++ b/src/pomeloswitch/http/open_requests.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -11,6 +12,13 @@
 
 namespace pomelo {
 
+//! Time between the end of the last requests and that of their process, for
+//! passing on their responses.
+inline constexpr std::chrono::milliseconds StopMargin{200};
+
+//! The reason of a refusal, and of an unknown outcome, at the end of a process.
+inline constexpr const char *HostStops = "this entry host is stopping";
+
 //! What an open request waits for.
 enum class request_phase {
   Admission,  //!< A lease, or the rate of its account.
@@ -40,18 +48,25 @@
 
     void enter(request_phase Phase) { Entry->Phase = Phase; }
     [[nodiscard]] request_phase phase() const { return Entry->Phase; }
+    //! Sets what is called when the request must end at once, since its
+    //! process does.
+    void onEnd(std::function<void()> Call) { Entry->OnEnd = std::move(Call); }
 
   private:
     friend class open_requests;
     struct entry {
       request_phase Phase = request_phase::Admission;
       std::chrono::steady_clock::time_point Since;
+      std::function<void()> OnEnd{};
     };
 
     open_requests &Table;
     std::list<entry>::iterator Entry;
   };
 
+  //! Tells all open requests that their process ends.
+  void end();
+
   [[nodiscard]] std::size_t size() const { return Entries.size(); }
   //! The number of open requests in each phase in which there are some.
   [[nodiscard]] std::map<request_phase, std::size_t> byPhase() const;
--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -150,6 +150,12 @@
   Next->cancel();
 }
 
+void upstream_pool::endWaits() {
+  for (const auto &[Key, Pool] : Pools)
+    for (waiter *Each : Pool.Waiters)
+      Each->cancel();
+}
+
 void upstream_pool::retain(const routing_view &View) {
   for (auto Entry = Pools.begin(); Entry != Pools.end();) {
     auto &[Key, Pool] = *Entry;
--- a/src/pomeloswitch/http/upstream_pool.hpp
+++ b/src/pomeloswitch/http/upstream_pool.hpp
@@ -88,6 +88,9 @@
   //! them and to targets that are no longer in it.
   void retain(const routing_view &View);
 
+  //! Ends all waits for a free connection, as if their deadline had passed.
+  void endWaits();
+
 private:
   friend class pooled_connection;
   using waiter = boost::asio::steady_timer;
