LOST: an entry host's stop lasts as long as its deployment allows

Callers saw: requests broken off 5.4 s after SIGTERM where the platform leaves 10 s, by an answer of the host's own (502) or a closed connection. Cause: deploy/entry.json.in fixed stop_notice_ms and stop_grace_ms, and bounds.grace_s was not read. With a limit of 6 s that was right by chance. The schedule is a function of the settings (stop_schedule); the time that targets are told follows from it.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/entry/entry_host.hpp"
 
 #include "pomeloswitch/admission/quota_codec.hpp"
+#include "pomeloswitch/entry/stop_schedule.hpp"
 #include "pomeloswitch/rollout/outcome_codec.hpp"
 #include "pomeloswitch/routing/routing_view.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -333,16 +334,17 @@
   Stopping = true;
   Session->announceStopping();
   Log.info("Stopping; waiting for open requests to finish.");
-  const milliseconds Notice(Settings.StopNoticeMs);
-  const milliseconds Grace(Settings.StopGraceMs);
+  const stop_schedule Schedule = makeStopSchedule(Settings);
+  const auto Signalled = steady_clock::now();
+  const auto EndsAt = Signalled + Schedule.ProcessEnds;
   for (const auto &Thread : Threads) {
-    Thread->announceEnd(steady_clock::now() + Notice + Grace);
+    Thread->announceEnd(EndsAt);
     Thread->logOpenRequests("stop_began");
   }
   // Keep accepting for a while: new callers arrive until the load balancer has
   // read the readiness endpoint.
-  StopTimer.expires_after(Notice);
-  StopTimer.async_wait([this, Grace](boost::system::error_code Error) {
+  StopTimer.expires_at(Signalled + Schedule.ListenerCloses);
+  StopTimer.async_wait([this, EndsAt](boost::system::error_code Error) {
     if (Error)
       return;
     BusyThreads = Threads.size();
@@ -350,7 +352,7 @@
       Thread->logOpenRequests("listener_closed");
       Thread->beginStop([this] { asio::post(Io, [this] { onThreadIdle(); }); });
     }
-    StopTimer.expires_after(Grace);
+    StopTimer.expires_at(EndsAt);
     StopTimer.async_wait([this](boost::system::error_code GraceError) {
       if (!GraceError)
         finishStop();
--- a/src/pomeloswitch/settings/entry_settings.cpp
+++ b/src/pomeloswitch/settings/entry_settings.cpp
@@ -27,6 +27,7 @@
     "stop_grace_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
     "peer_port": {{"type": "integer", "minimum": 1, "maximum": 65535}},
     "stop_notice_ms": {{"type": "integer", "minimum": 0, "maximum": 600000}},
+    "stop_limit_s": {{"type": "number", "minimum": 0, "maximum": 1200}},
     "link_mbit_per_s": {{"type": "number", "minimum": 0}},
     "retries": {{
       "type": "object", "additionalProperties": false,
@@ -44,6 +45,17 @@
   return Schema;
 }
 
+std::optional<double> readStopLimit(const document_kind &Kind,
+                                    const boost::json::object &Object) {
+  if (!Object.contains("stop_limit_s"))
+    return std::nullopt;
+  if (Object.contains("stop_grace_ms"))
+    throw pomelo_error(Kind.ErrorKind,
+                       "entry settings: /stop_limit_s: cannot stand beside "
+                       "stop_grace_ms, which it replaces");
+  return doubleField(Object, "stop_limit_s", 0);
+}
+
 } // namespace
 
 entry_settings parseEntrySettings(std::string_view Text) {
@@ -68,6 +80,7 @@
       integerField(Object, "stop_grace_ms", Settings.StopGraceMs));
   Settings.StopNoticeMs = static_cast<std::uint32_t>(
       integerField(Object, "stop_notice_ms", Settings.StopNoticeMs));
+  Settings.StopLimitSeconds = readStopLimit(Kind, Object);
   Settings.LinkMegabitsPerSecond =
       doubleField(Object, "link_mbit_per_s", Settings.LinkMegabitsPerSecond);
   if (const auto *Retries = Object.if_contains("retries")) {
--- a/src/pomeloswitch/settings/entry_settings.hpp
+++ b/src/pomeloswitch/settings/entry_settings.hpp
@@ -5,6 +5,7 @@
 #include "pomeloswitch/settings/common_settings.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,9 @@
   //! How long a stopping host still serves new callers after it has reported
   //! itself as not ready, so that the load balancer can take it out.
   std::uint32_t StopNoticeMs = 500;
+  //! Time from the stop signal until what supervises the process kills it. If
+  //! set, the stop lasts nearly as long, and StopGraceMs is not used.
+  std::optional<double> StopLimitSeconds;
   //! What the host's link carries in one direction, 10^6 bit/s; 0: unknown.
   double LinkMegabitsPerSecond = 0;
   retry_limits Retries;
--- a/tests/settings/entry_settings_test.cpp
+++ b/tests/settings/entry_settings_test.cpp
@@ -36,6 +36,17 @@
   EXPECT_EQ(Settings.TrafficThreads, 1U);
 }
 
+TEST(entry_settings, a_stop_limit_does_not_stand_beside_a_grace_period) {
+  boost::json::object Settings = validSettings();
+  Settings["stop_limit_s"] = 10;
+  EXPECT_EQ(parseEntrySettings(boost::json::serialize(Settings))
+                .StopLimitSeconds.value_or(0),
+            10);
+  Settings["stop_grace_ms"] = 3000;
+  EXPECT_THROW(parseEntrySettings(boost::json::serialize(Settings)),
+               pomelo_error);
+}
+
 struct bad_field {
   std::string Field;
   boost::json::value Value;
