A connection that outlives the listener is closed soon after its response

Callers saw: nothing of it; their connection stayed open to the end of the process, and a request on it in that moment was lost with it. Cause: beginStop() closes connections that are idle then. One whose response had promised keep-alive just before went on waiting for a further request, for the idle timeout, and held the process to the end of its time. Change: such a wait lasts 500 ms at most once the listener is closed.

--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -33,6 +33,8 @@
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
+//! Wait for a further request on a connection that outlived the listener.
+constexpr auto LastRequestWait = std::chrono::milliseconds(500);
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 
@@ -208,8 +210,10 @@
       std::max({Allowance, MaxUnparsedBytes, Connection.Buffer.size()}));
   error_code Error;
   if (Connection.Buffer.size() == 0) {
-    Connection.Stream.expires_after(
-        std::chrono::milliseconds(callerBounds().IdleTimeoutMs));
+    const std::chrono::milliseconds IdleTimeout(callerBounds().IdleTimeoutMs);
+    Connection.Stream.expires_after(Context.Stopping
+                                        ? std::min(IdleTimeout, LastRequestWait)
+                                        : IdleTimeout);
     const std::size_t Count = co_await Connection.Stream.async_read_some(
         Connection.Buffer.prepare(FirstReadBytes),
         asio::redirect_error(asio::use_awaitable, Error));
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "emulator/raw_call.hpp"
 #include "traffic_fixture.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -251,6 +252,27 @@
   EXPECT_NE(Answer.find("certificate"), std::string::npos);
 }
 
+// It stayed open to the end of the process, which waited for it.
+TEST(exchange, closes_a_kept_connection_soon_after_its_last_response) {
+  std::atomic<bool> MayEnd = false;
+  scripted_target Target([&](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    emulator::waitUntil([&] { return MayEnd.load(); }, seconds(2));
+    Connection.write("half");
+    Connection.awaitEnd();
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  emulator::raw_connection Caller(Traffic.address());
+  Caller.send("GET /safe HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_NE(Caller.receive(seconds(2), "half").find("200"), std::string::npos);
+  Traffic.beginStopOnce([] { return true; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  MayEnd = true;
+  EXPECT_NE(Caller.receive(seconds(2), "half").find("half"), std::string::npos);
+  EXPECT_TRUE(Caller.closedWithin(seconds(1)));
+}
+
 // The listener's queue was reset when the listener was closed.
 TEST(exchange, serves_a_connection_that_was_not_accepted_when_the_stop_began) {
   scripted_target Target([&](connection &Connection, unsigned) {
