Tests: uploads in the soak of stops; 502 is judged by its run state

Every fourth request has a body of 300,000 bytes. The check was meant for answers in place of a target's; it now asks that no answer has the run state unknown.

--- a/tests/integration/stop_soak_test.cpp
+++ b/tests/integration/stop_soak_test.cpp
@@ -30,6 +30,7 @@
 using std::chrono::seconds;
 
 constexpr unsigned CallerCount = 24;
+constexpr std::size_t UploadBytes = 300000;
 constexpr auto SoakDuration = seconds(10);
 constexpr unsigned DefaultSeeds = 2;
 
@@ -42,9 +43,10 @@
 //! What callers have seen.
 class soak_record {
 public:
-  void answered(int Status) {
+  void answered(int Status, std::string_view RunState) {
     const std::lock_guard Lock(Mutex);
     ++Statuses[Status];
+    Unknown += RunState == "unknown" ? 1 : 0;
   }
   void cut(const std::string &Path) {
     const std::lock_guard Lock(Mutex);
@@ -53,6 +55,7 @@
 
   std::mutex Mutex;
   std::map<int, unsigned> Statuses;
+  unsigned Unknown = 0;      //!< Answers of hosts that gave a target up.
   std::set<std::string> Cut; //!< Paths of requests without a whole answer.
 };
 
@@ -110,7 +113,7 @@
     http::request<http::string_body> Request(http::verb::post, Path, 11);
     Request.set(http::field::host, "h");
     Request.set(http::field::authorization, "Bearer " + Key);
-    Request.body() = "body";
+    Request.body().assign(Random() % 4 == 0 ? UploadBytes : 4, 'b');
     Request.prepare_payload();
     boost::system::error_code Error;
     http::write(Socket, Request, Error);
@@ -121,7 +124,8 @@
       Record.cut(Path);
       return false;
     }
-    Record.answered(static_cast<int>(Response.result_int()));
+    Record.answered(static_cast<int>(Response.result_int()),
+                    Response["Pomelo-Run-State"]);
     return Response.keep_alive();
   }
 
@@ -210,7 +214,7 @@
     std::printf("%u answers with status %d\n", Count, Status);
   std::printf("%zu requests crossed a close\n", Record.Cut.size());
   EXPECT_GT(Record.Statuses[200], 0U);
-  EXPECT_EQ(Record.Statuses[502], 0U);
+  EXPECT_EQ(Record.Unknown, 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, stop_soak, testing::Range(1U, 1 + soakSeeds()));
