LOST: a waiting request is refused once the stop leaves it no time

Callers saw: a request that waited for a target when its host was stopped went on waiting, to the end of the process, and was closed with it. Cause: the time left was looked at before a send only, so never while no target was free. Change: it is looked at on each turn of the wait; what would hardly be finished is answered 503, not run, while another host can still take it. Evidence: refuses_a_waiting_request_once_the_stop_leaves_it_no_time failed before (none refused within 500 ms) and passes.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -290,6 +290,7 @@
                               steady_clock::now());
   for (;;) {
     checkCallerConnected();
+    boundByStop();
     if (followConfiguration())
       co_return std::nullopt;
     const auto Now = steady_clock::now();
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -252,6 +252,30 @@
   EXPECT_NE(Answer.find("certificate"), std::string::npos);
 }
 
+// It waited to the end of the process, and was closed with it.
+TEST(exchange, refuses_a_waiting_request_once_the_stop_leaves_it_no_time) {
+  scripted_target Target([](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.awaitEnd();
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  std::vector<std::thread> Callers;
+  std::atomic<unsigned> Refused = 0;
+  // More than the target may have in flight; the rest wait for it.
+  for (int Count = 0; Count < 40; ++Count)
+    Callers.emplace_back([&] {
+      Refused += Traffic.call("POST", "/unsafe", "body").Status == 503 ? 1 : 0;
+    });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const unsigned Before = Refused;
+  Traffic.announceEnd(std::chrono::milliseconds(1000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const unsigned After = Refused;
+  for (auto &Caller : Callers)
+    Caller.join();
+  EXPECT_GT(After, Before);
+}
+
 // It stayed open to the end of the process, which waited for it.
 TEST(exchange, closes_a_kept_connection_soon_after_its_last_response) {
   std::atomic<bool> MayEnd = false;
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -156,6 +156,12 @@
       Server.beginStop();
     });
   }
+  //! Tells that the process ends after \p Time.
+  void announceEnd(std::chrono::milliseconds Time) {
+    boost::asio::post(Io, [this, Time] {
+      Context.EndsAt = std::chrono::steady_clock::now() + Time;
+    });
+  }
   [[nodiscard]] std::string address() const {
     return toString(Server.address());
   }
