--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -259,11 +259,12 @@
     Connection.awaitEnd();
   });
   traffic_fixture Traffic(Target.address(), 1);
-  std::vector<std::thread> Callers;
-  std::atomic<unsigned> Refused = 0;
   // More than the target may have in flight; the rest wait for it.
-  for (int Count = 0; Count < 40; ++Count)
-    Callers.emplace_back([&] {
+  constexpr std::size_t CallerCount = 40;
+  std::vector<std::thread> Callers(CallerCount);
+  std::atomic<unsigned> Refused = 0;
+  for (auto &Caller : Callers)
+    Caller = std::thread([&] {
       Refused += Traffic.call("POST", "/unsafe", "body").Status == 503 ? 1 : 0;
     });
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
