Stop: all traffic threads end before the first is destroyed

Found by review, by reading: threads were destroyed one after the other, while later ones still ran and post what targets tell them to all. With one traffic thread, as on the platform, nothing happens. Change: all are joined first.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -131,7 +131,11 @@
       [this](const text_request &Request) { return handleOps(Request); });
 }
 
-entry_host::~entry_host() = default;
+//! Each thread posts to the others, so all end before the first is destroyed.
+entry_host::~entry_host() {
+  for (const auto &Thread : Threads)
+    Thread->join();
+}
 
 control_session::callbacks entry_host::makeCallbacks() {
   control_session::callbacks Callbacks;
--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -35,10 +35,14 @@
   Context.Sending.Link = Link;
 }
 
-traffic_thread::~traffic_thread() {
+void traffic_thread::join() {
   Io.stop();
   if (Thread.joinable())
     Thread.join();
+}
+
+traffic_thread::~traffic_thread() {
+  join();
   writeOpenRequests("stop_ended");
   Io.shutdown();
 }
@@ -135,10 +139,8 @@
     Context.EndsAt = EndsAt;
     EndTimer.expires_at(EndsAt - StopMargin);
     EndTimer.async_wait([this](boost::system::error_code Error) {
-      if (Error)
-        return;
-      Context.Pool.endWaits();
-      Context.OpenRequests.end();
+      if (!Error)
+        Context.endRequests();
     });
   });
 }
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -32,6 +32,9 @@
                  caller_limits Limits);
   ~traffic_thread();
 
+  //! Stops the thread and waits for its end; what is open ends with the object.
+  void join();
+
   //! Sets the store for request records. Call before start().
   void useRecords(request_state_client &Records) { Context.Records = &Records; }
 
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -68,6 +68,12 @@
         Sending(std::move(FailureDomain), std::random_device()()),
         Retries(Retries) {}
 
+  //! Tells all requests that their process ends in StopMargin.
+  void endRequests() {
+    Pool.endWaits();
+    OpenRequests.end();
+  }
+
   boost::asio::io_context &Io;
   const routing_lease &RoutingLease;
   host_quota &Quota; //!< Shared by all traffic threads of the entry host.
