LOST: an open request is answered at the end, whatever it waits for

Callers saw: a closed connection at the end of a stop, if their request waited for a claim or for the host's link then. Cause: each such wait ends in its own way; telling the request that its host ends did not wake it, and the event loop stopped under it. Change: a request that was told and is still open when its coroutine is destroyed writes its answer at once, without waiting: 503 if nothing was sent, 502 otherwise.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -7,11 +7,14 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
+#include <sstream>
+#include <string>
 #include <utility>
 
 namespace pomelo {
@@ -50,7 +53,9 @@
 }
 
 exchange::~exchange() {
-  if (!Complete && !CallerDisconnected)
+  if (Complete || CallerDisconnected)
+    return;
+  if (!HostEnds || !answerAtOnce())
     logCut();
 }
 
@@ -398,6 +403,25 @@
       Context.Dialect.errorResponse(Refusal, Request.get().version()));
 }
 
+//! Answers a request whose wait did not end with its host: the loop that would
+//! resume it has stopped. Returns whether the caller's socket took the answer.
+bool exchange::answerAtOnce() {
+  if (Open.phase() == request_phase::Relaying ||
+      Open.phase() == request_phase::Answering)
+    return false;
+  const pomelo_error Refusal =
+      History.withEarlierSends(pomelo_error(error_kind::Draining, HostStops));
+  auto Response =
+      Context.Dialect.errorResponse(Refusal, Request.get().version());
+  Response.keep_alive(false);
+  std::ostringstream Bytes;
+  Bytes << Response;
+  error_code Error;
+  Caller.socket().non_blocking(true, Error);
+  const std::string Text = Bytes.str();
+  return asio::write(Caller.socket(), asio::buffer(Text), Error) == Text.size();
+}
+
 asio::awaitable<void> exchange::writeResponse(text_response Response) {
   Open.enter(request_phase::Answering);
   CallerKeepAlive = CallerKeepAlive && Request.is_done() && !Context.EndsAt;
--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -252,6 +252,52 @@
   EXPECT_NE(Answer.find("certificate"), std::string::npos);
 }
 
+struct wait_at_the_end {
+  std::string Name;
+  std::string Target;
+  std::size_t BodyBytes;
+  int Status;
+  bool SilentRecords = false;
+  double BytesPerSecond = 0;
+};
+
+void PrintTo(const wait_at_the_end &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class open_at_the_end : public testing::TestWithParam<wait_at_the_end> {};
+
+// Its wait did not end with the host, and its connection was closed.
+TEST_P(open_at_the_end, is_answered_whatever_it_waits_for) {
+  scripted_target Target([](connection &Connection, unsigned) {
+    Connection.readRequest();
+    Connection.awaitEnd();
+  });
+  std::optional<traffic_fixture> Traffic;
+  Traffic.emplace(Target.address(), 1);
+  Traffic->Records.Silent = GetParam().SilentRecords;
+  if (GetParam().BytesPerSecond > 0)
+    Traffic->useLink(GetParam().BytesPerSecond);
+  emulator::http_answer Answer;
+  const std::string Body(GetParam().BodyBytes, 'b');
+  std::thread Caller(
+      [&] { Answer = Traffic->call("POST", GetParam().Target, Body); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Traffic->announceEnd(std::chrono::milliseconds(400));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  Traffic.reset();
+  Caller.join();
+  EXPECT_EQ(Answer.Status, GetParam().Status) << Answer.Failure;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    waits, open_at_the_end,
+    testing::Values(wait_at_the_end{"response", "/unsafe", 4, 502},
+                    wait_at_the_end{"claim", "/claimed", 4, 503, true},
+                    wait_at_the_end{"link", "/unsafe", 60000, 502, false,
+                                    4000}),
+    [](const auto &Info) { return Info.param.Name; });
+
 // It waited to the end of the process, and was closed with it.
 TEST(exchange, refuses_a_waiting_request_once_the_stop_leaves_it_no_time) {
   scripted_target Target([](connection &Connection, unsigned) {
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -26,7 +26,8 @@
 class fake_records final : public request_state_client {
 public:
   void claim(claim_request, std::function<void(claim_reply)> Done) override {
-    Done({Verdict, nullptr, 1});
+    if (!Silent)
+      Done({Verdict, nullptr, 1});
   }
   void finish(const claim_request &, std::uint64_t,
               std::optional<kept_answer> Answer) override {
@@ -49,6 +50,7 @@
   }
 
   claim_verdict Verdict = claim_verdict::Granted;
+  bool Silent = false; //!< Answers no claim.
 
 private:
   std::mutex Mutex;
@@ -156,10 +158,15 @@
       Server.beginStop();
     });
   }
-  //! Tells that the process ends after \p Time.
+  //! Tells that the process ends after \p Time; its requests end before.
   void announceEnd(std::chrono::milliseconds Time) {
     boost::asio::post(Io, [this, Time] {
       Context.EndsAt = std::chrono::steady_clock::now() + Time;
+      EndTimer.expires_at(*Context.EndsAt - StopMargin);
+      EndTimer.async_wait([this](boost::system::error_code Error) {
+        if (!Error)
+          Context.endRequests();
+      });
     });
   }
   [[nodiscard]] std::string address() const {
@@ -222,6 +229,7 @@
     using boost::asio::io_context::io_context;
   };
   io_context Io{1};
+  boost::asio::steady_timer EndTimer{Io};
   routing_lease RoutingLease;
   host_quota Quota{[] {}};
   traffic_context Context;
