Stop: pending records do not hold the process beyond its end

Found by review, by reading: the wait for records to be committed cancels the wait for the end and lasts up to 2 s. Requests that end just before the end of a stop would have held the process until it was killed, 0.4 s later. Change: that wait ends with the stop.

--- a/src/pomeloswitch/entry/entry_host.cpp
+++ b/src/pomeloswitch/entry/entry_host.cpp
@@ -340,7 +340,7 @@
   Log.info("Stopping; waiting for open requests to finish.");
   const stop_schedule Schedule = makeStopSchedule(Settings);
   const auto Signalled = steady_clock::now();
-  const auto EndsAt = Signalled + Schedule.ProcessEnds;
+  EndsAt = Signalled + Schedule.ProcessEnds;
   for (const auto &Thread : Threads) {
     Thread->announceEnd(EndsAt);
     Thread->logOpenRequests("stop_began");
@@ -348,7 +348,7 @@
   // Keep accepting for a while: new callers arrive until the load balancer has
   // read the readiness endpoint.
   StopTimer.expires_at(Signalled + Schedule.ListenerCloses);
-  StopTimer.async_wait([this, EndsAt](boost::system::error_code Error) {
+  StopTimer.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
     BusyThreads = Threads.size();
@@ -367,7 +367,7 @@
 void entry_host::onThreadIdle() {
   if (--BusyThreads > 0)
     return;
-  RecordsDeadline = steady_clock::now() + RecordsTimeout;
+  RecordsDeadline = std::min(steady_clock::now() + RecordsTimeout, EndsAt);
   awaitPendingRecords();
 }
 
--- a/src/pomeloswitch/entry/entry_host.hpp
+++ b/src/pomeloswitch/entry/entry_host.hpp
@@ -78,6 +78,7 @@
   boost::asio::steady_timer SpanTimer;
   boost::asio::steady_timer StopTimer;
   std::size_t BusyThreads = 0;
+  steady_time EndsAt{}; //!< When the process ends, once its stop has begun.
   steady_time RecordsDeadline{};
   bool Stopping = false;
   bool SharesInForce = false; //!< The latest answer named overloaded owners.
