Daemon: one loop waits for stop and for reload signals

stopOnSignal() had got the loop that reloadOnSignal() already had: wait, call, wait again on the same signal set. Both call callAtEach() now. What is called, when, and what is logged stay as they were.

--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -71,53 +71,44 @@
 
 namespace {
 
-//! Goes on waiting during the stop: an uncaught signal would end the process.
-void waitForStopSignal(const std::shared_ptr<boost::asio::signal_set> &Signals,
-                       const std::function<void()> &OnStop) {
+//! Calls \p OnSignal at each of \p Signals. Goes on waiting after the first: an
+//! uncaught signal would end the process.
+void callAtEach(const std::shared_ptr<boost::asio::signal_set> &Signals,
+                const std::function<void(int)> &OnSignal) {
   Signals->async_wait(
-      [Signals, OnStop](boost::system::error_code Error, int Number) {
+      [Signals, OnSignal](boost::system::error_code Error, int Number) {
         if (Error)
           return;
-        component_logger("daemon").info("Signal {} received.", Number);
-        OnStop();
-        waitForStopSignal(Signals, OnStop);
+        OnSignal(Number);
+        callAtEach(Signals, OnSignal);
       });
 }
 
+void reload(const std::function<void()> &OnReload) {
+  const component_logger Log("daemon");
+  try {
+    OnReload();
+    Log.info("Settings reloaded.");
+  } catch (const std::exception &Failure) {
+    Log.error("Reload failed, settings are unchanged: {}.", Failure.what());
+  }
+}
+
 } // namespace
 
 void stopOnSignal(boost::asio::io_context &Io,
                   const std::function<void()> &OnStop) {
-  waitForStopSignal(
-      std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT), OnStop);
+  callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT),
+             [OnStop](int Number) {
+               component_logger("daemon").info("Signal {} received.", Number);
+               OnStop();
+             });
 }
 
-namespace {
-
-void waitForReloadSignal(
-    const std::shared_ptr<boost::asio::signal_set> &Signals,
-    const std::function<void()> &OnReload) {
-  Signals->async_wait([Signals, OnReload](boost::system::error_code Error,
-                                          int) {
-    if (Error)
-      return;
-    const component_logger Log("daemon");
-    try {
-      OnReload();
-      Log.info("Settings reloaded.");
-    } catch (const std::exception &Failure) {
-      Log.error("Reload failed, settings are unchanged: {}.", Failure.what());
-    }
-    waitForReloadSignal(Signals, OnReload);
-  });
-}
-
-} // namespace
-
 void reloadOnSignal(boost::asio::io_context &Io,
                     const std::function<void()> &OnReload) {
-  waitForReloadSignal(std::make_shared<boost::asio::signal_set>(Io, SIGHUP),
-                      OnReload);
+  callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGHUP),
+             [OnReload](int) { reload(OnReload); });
 }
 
 void writeReadyFile(const std::string &Path, std::string_view Description) {
