Stop: the end of requests and the emptied event loop stand once

traffic_thread and the tests' traffic_fixture each had the timer that ends requests before the process does, and each a class to destroy the pending operations of an event loop early. traffic_context::announceEnd() and emptied_io_context serve both, so that the tests run the very code of the product. Behaviour is unchanged.

--- a/src/pomeloswitch/entry/traffic_thread.cpp
+++ b/src/pomeloswitch/entry/traffic_thread.cpp
@@ -30,8 +30,7 @@
     : Work(boost::asio::make_work_guard(Io)),
       Context(Io, RoutingLease, Quota, ClusterSecret, FailureDomain, Dialect,
               Retries),
-      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io),
-      EndTimer(Io) {
+      Server(Context, Address, Limits), Ticker(Io), IdleTimer(Io) {
   Context.Sending.Link = Link;
 }
 
@@ -135,14 +134,7 @@
 }
 
 void traffic_thread::announceEnd(std::chrono::steady_clock::time_point EndsAt) {
-  boost::asio::post(Io, [this, EndsAt] {
-    Context.EndsAt = EndsAt;
-    EndTimer.expires_at(EndsAt - StopMargin);
-    EndTimer.async_wait([this](boost::system::error_code Error) {
-      if (!Error)
-        Context.endRequests();
-    });
-  });
+  boost::asio::post(Io, [this, EndsAt] { Context.announceEnd(EndsAt); });
 }
 
 void traffic_thread::beginStop(std::function<void()> OnIdle) {
--- a/src/pomeloswitch/entry/traffic_thread.hpp
+++ b/src/pomeloswitch/entry/traffic_thread.hpp
@@ -3,6 +3,7 @@
 #define POMELOSWITCH_ENTRY_TRAFFIC_THREAD_HPP
 
 #include "pomeloswitch/http/caller_server.hpp"
+#include "pomeloswitch/http/emptied_io_context.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 
 #include "pomeloswitch/sending/subset_monitor.hpp"
@@ -71,8 +72,7 @@
   //! are some.
   void wakeTokenWaiters();
 
-  //! Any thread: tells when the process ends. Requests that would hardly be
-  //! finished by then are refused; those still open shortly before are ended.
+  //! Any thread: as traffic_context::announceEnd().
   void announceEnd(std::chrono::steady_clock::time_point EndsAt);
 
   //! Any thread: logs the open requests at a step of the host's stop.
@@ -124,23 +124,15 @@
   void dropEndedRollouts();
   void awaitIdle(std::function<void()> OnIdle);
 
-  //! Can destroy its pending operations ahead of the members that they use.
-  class io_context : public boost::asio::io_context {
-  public:
-    using boost::asio::execution_context::shutdown;
-    using boost::asio::io_context::io_context;
-  };
-
   void writeOpenRequests(std::string_view Step) const;
 
-  io_context Io{1};
+  emptied_io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   routing_lease RoutingLease;
   traffic_context Context;
   caller_server Server;
   boost::asio::steady_timer Ticker;
   boost::asio::steady_timer IdleTimer;
-  boost::asio::steady_timer EndTimer;
   std::atomic<std::uint64_t> PublishedQuiescedIndex{0};
   std::atomic<std::shared_ptr<const load_report>> Loads;
   steady_time NextLoadsAt{};
--- a/src/pomeloswitch/http/traffic_context.hpp
+++ b/src/pomeloswitch/http/traffic_context.hpp
@@ -18,6 +18,7 @@
 #include "pomeloswitch/sending/send_state.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -68,10 +69,17 @@
         Sending(std::move(FailureDomain), std::random_device()()),
         Retries(Retries) {}
 
-  //! Tells all requests that their process ends in StopMargin.
-  void endRequests() {
-    Pool.endWaits();
-    OpenRequests.end();
+  //! Tells when the process ends. Requests that would hardly be finished by
+  //! then are refused; those still open StopMargin before are ended.
+  void announceEnd(std::chrono::steady_clock::time_point Time) {
+    EndsAt = Time;
+    EndTimer.expires_at(Time - StopMargin);
+    EndTimer.async_wait([this](boost::system::error_code Error) {
+      if (Error)
+        return;
+      Pool.endWaits();
+      OpenRequests.end();
+    });
   }
 
   boost::asio::io_context &Io;
@@ -99,6 +107,7 @@
   std::function<void(routing_target_ptr, const target_notice &)> OnNotice;
   //! When the process ends, once its stop has begun.
   std::optional<std::chrono::steady_clock::time_point> EndsAt;
+  boost::asio::steady_timer EndTimer{Io};
 };
 
 } // namespace pomelo
--- a/tests/http/traffic_fixture.hpp
+++ b/tests/http/traffic_fixture.hpp
@@ -6,6 +6,7 @@
 #include "emulator/child_process.hpp"
 #include "emulator/http_call.hpp"
 #include "pomeloswitch/http/caller_server.hpp"
+#include "pomeloswitch/http/emptied_io_context.hpp"
 #include "pomeloswitch/routing/authentication.hpp"
 #include "pomeloswitch/wire/peer_link.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
@@ -161,12 +162,7 @@
   //! Tells that the process ends after \p Time; its requests end before.
   void announceEnd(std::chrono::milliseconds Time) {
     boost::asio::post(Io, [this, Time] {
-      Context.EndsAt = std::chrono::steady_clock::now() + Time;
-      EndTimer.expires_at(*Context.EndsAt - StopMargin);
-      EndTimer.async_wait([this](boost::system::error_code Error) {
-        if (!Error)
-          Context.endRequests();
-      });
+      Context.announceEnd(std::chrono::steady_clock::now() + Time);
     });
   }
   [[nodiscard]] std::string address() const {
@@ -222,14 +218,7 @@
 
   static inline const std::string Secret = "cluster secret";
   new_account_key Key;
-  //! Can destroy its pending operations ahead of the members that they use.
-  class io_context : public boost::asio::io_context {
-  public:
-    using boost::asio::execution_context::shutdown;
-    using boost::asio::io_context::io_context;
-  };
-  io_context Io{1};
-  boost::asio::steady_timer EndTimer{Io};
+  emptied_io_context Io{1};
   routing_lease RoutingLease;
   host_quota Quota{[] {}};
   traffic_context Context;
