Exchange: one rule for the answer at the end, one for what has begun

attempt() chose between not run and unknown by itself when the host ends; run() does so for every failure (send_history::withEarlierSends), and answerAtOnce() already relied on that. Whether an answer has begun was asked in two places by phase. Status and run state are as before; the reason of the 502 now begins with "an earlier attempt may have run", as that of other failures after a send.

--- a/src/pomeloswitch/http/exchange.cpp
+++ b/src/pomeloswitch/http/exchange.cpp
@@ -173,10 +173,7 @@
   if (CallerDisconnected)
     throwConnectionAborted();
   if (HostEnds)
-    throw pomelo_error(LastProgress == attempt_progress::NothingSent
-                           ? error_kind::Draining
-                           : error_kind::OutcomeUnknown,
-                       HostStops);
+    throw pomelo_error(error_kind::Draining, HostStops);
   if (LastFailure == attempt_failure::ConnectionLost)
     co_await handleConnectionLoss(Owner.Target);
   if (!mayRetry(Failure->kind()))
@@ -406,8 +403,7 @@
 //! Answers a request whose wait did not end with its host: the loop that would
 //! resume it has stopped. Returns whether the caller's socket took the answer.
 bool exchange::answerAtOnce() {
-  if (Open.phase() == request_phase::Relaying ||
-      Open.phase() == request_phase::Answering)
+  if (answerBegun())
     return false;
   const pomelo_error Refusal =
       History.withEarlierSends(pomelo_error(error_kind::Draining, HostStops));
--- a/src/pomeloswitch/http/exchange.hpp
+++ b/src/pomeloswitch/http/exchange.hpp
@@ -72,6 +72,7 @@
   void noticeCallerGone();
   void checkCallerConnected() const;
   void observeCaller();
+  [[nodiscard]] bool answerBegun() const;
   bool answerAtOnce();
   void logCut() const;
   void logOutcome(const std::optional<pomelo_error> &Refusal) const;
--- a/src/pomeloswitch/http/exchange_planning.cpp
+++ b/src/pomeloswitch/http/exchange_planning.cpp
@@ -78,11 +78,16 @@
   Plan.DeadlineUnixMs -= std::chrono::duration_cast<milliseconds>(Cut).count();
 }
 
+//! Whether the caller may have read a part of an answer.
+bool exchange::answerBegun() const {
+  return Open.phase() == request_phase::Relaying ||
+         Open.phase() == request_phase::Answering;
+}
+
 //! Ends the request shortly before the process does, so that its caller is
 //! still answered. A response that is being relayed has that time left.
 void exchange::endWithHost() {
-  if (Open.phase() == request_phase::Relaying ||
-      Open.phase() == request_phase::Answering)
+  if (answerBegun())
     return;
   HostEnds = true;
   if (!Request.is_done())
