Tests: files of a test program are those of its process

Cause: ctest runs the tests of one program as parallel processes, and all of them wrote the cluster secret to one file in the temporary folder. Writing empties the file first; a test that read it then found a secret that is too short. The recorded credential of pomeloctl's tests was such a file as well.

Change: process_folder, which check_command_test had, is shared: each process has its own folder.

--- a/tests/cli/check_command_test.cpp
+++ b/tests/cli/check_command_test.cpp
@@ -1,16 +1,12 @@
 //! Exit codes of "pomeloctl check", on which operators' scripts depend.
 #include "cli/recording_api.hpp"
 #include "pomeloswitch/cli/operator_commands.hpp"
+#include "process_folder.hpp"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
-
 namespace pomelo {
 namespace {
 
@@ -25,29 +21,9 @@
 constexpr const char *WrongRules =
     R"({"routes": [{"name": "all", "path_prefix": "/", "service": "x"}]})";
 
-//! A folder of this process, since ctest runs several tests at once.
-class process_folder {
-public:
-  process_folder()
-      : Path(std::filesystem::path(testing::TempDir()) /
-             fmt::format("check_command_{}", getpid())) {
-    std::filesystem::create_directories(Path);
-  }
-  process_folder(const process_folder &) = delete;
-  process_folder &operator=(const process_folder &) = delete;
-  ~process_folder() {
-    std::error_code Ignored;
-    std::filesystem::remove_all(Path, Ignored);
-  }
-
-  const std::filesystem::path Path;
-};
-
 std::string writeDocument(const std::string &Name, const std::string &Text) {
-  static const process_folder Folder;
-  std::string Path = (Folder.Path / Name).string();
-  std::ofstream(Path) << Text;
-  return Path;
+  static const process_folder Folder("check_command");
+  return Folder.write(Name, Text);
 }
 
 struct check_command {
--- a/tests/cli/recording_api.hpp
+++ b/tests/cli/recording_api.hpp
@@ -3,12 +3,11 @@
 #define POMELOSWITCH_TESTS_CLI_RECORDING_API_HPP
 
 #include "pomeloswitch/http/simple_server.hpp"
+#include "process_folder.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <fmt/format.h>
-#include <gtest/gtest.h>
 
-#include <fstream>
 #include <map>
 #include <string>
 #include <thread>
@@ -37,10 +36,8 @@
   }
   //! Options with which pomeloctl uses this API.
   [[nodiscard]] std::vector<std::string> options() const {
-    const std::string Credential = testing::TempDir() + "recording_credential";
-    std::ofstream(Credential) << "credential\n";
     return {fmt::format("--control=127.0.0.1:{}", Server.address().port()),
-            "--credential=" + Credential};
+            "--credential=" + Folder.write("credential", "credential\n")};
   }
 
   // To be read after stop().
@@ -57,6 +54,7 @@
                                Request.version());
   }
 
+  process_folder Folder{"recording_api"};
   std::map<std::string, std::string> Answers; //!< By target.
   boost::asio::io_context Io;
   simple_server Server;
--- a/tests/settings/entry_settings_test.cpp
+++ b/tests/settings/entry_settings_test.cpp
@@ -1,19 +1,17 @@
 #include "pomeloswitch/settings/entry_settings.hpp"
+#include "process_folder.hpp"
 
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <fstream>
 #include <limits>
 
 namespace pomelo {
 namespace {
 
 std::string writeSecretFile() {
-  std::string Path = testing::TempDir() + "entry_settings_secret";
-  std::ofstream(Path) << "a secret of the cluster\n";
-  return Path;
+  static const process_folder Folder("entry_settings");
+  return Folder.write("secret", "a secret of the cluster\n");
 }
 
 boost::json::object validSettings() {
