Callers' server: kept connections and the last accepts stand by themselves

Cause: the server for small messages needs the same at its stop: the listener's queue emptied, idle connections closed, the others counted.

Change: kept_connections and closeAfterWaiting() are taken out of caller_server. The last accepts go on after a connection that its caller has given up (ECONNABORTED), and say what else ended them; both were found by reading.

--- a/src/pomeloswitch/http/accept_next.cpp
+++ b/src/pomeloswitch/http/accept_next.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -40,4 +41,21 @@
   co_return std::nullopt;
 }
 
+void closeAfterWaiting(tcp::acceptor &Acceptor,
+                       const std::function<void(tcp::socket)> &Admit) {
+  boost::system::error_code Error;
+  Acceptor.non_blocking(true, Error);
+  // A connection that its caller has given up is no reason to leave the others.
+  while (!Error || Error == asio::error::connection_aborted) {
+    tcp::socket Socket(Acceptor.get_executor());
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      Admit(std::move(Socket));
+  }
+  if (Error != asio::error::would_block && Error != asio::error::try_again)
+    log().warn("Closing the listener with connections in its queue: {}.",
+               Error.message());
+  Acceptor.close(Error);
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/http/accept_next.hpp
+++ b/src/pomeloswitch/http/accept_next.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <optional>
 
 namespace pomelo {
@@ -15,6 +16,13 @@
 boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>>
 acceptNext(boost::asio::ip::tcp::acceptor &Acceptor);
 
+//! Closes \p Acceptor after passing \p Admit the connections that wait in its
+//! queue, which its close would reset. Stops at the first that cannot be
+//! accepted, e.g. without free file descriptors, and logs that.
+void closeAfterWaiting(
+    boost::asio::ip::tcp::acceptor &Acceptor,
+    const std::function<void(boost::asio::ip::tcp::socket)> &Admit);
+
 } // namespace pomelo
 
 #endif
--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -3,7 +3,6 @@
 #include "pomeloswitch/http/accept_next.hpp"
 #include "pomeloswitch/http/error_response.hpp"
 #include "pomeloswitch/http/exchange.hpp"
-#include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
 #include "pomeloswitch/http/request_checks.hpp"
 #include "pomeloswitch/http/spawn.hpp"
@@ -33,8 +32,6 @@
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
-//! Wait for a further request on a connection that outlived the listener.
-constexpr auto LastRequestWait = std::chrono::milliseconds(500);
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 
@@ -78,49 +75,8 @@
   co_await sendRefusal(Stream, Dialect, Refusal);
 }
 
-//! Sets a connection's Serving flag for its own lifetime.
-class serving_guard {
-public:
-  explicit serving_guard(bool &Serving) : Serving(Serving) { Serving = true; }
-  ~serving_guard() { Serving = false; }
-  serving_guard(const serving_guard &) = delete;
-  serving_guard &operator=(const serving_guard &) = delete;
-
-private:
-  bool &Serving;
-};
-
 } // namespace
 
-//! Counts a connection among those of its server for its own lifetime, which
-//! may be longer than that of the server.
-class caller_server::registration {
-public:
-  registration(std::shared_ptr<connection_set> GivenConnections,
-               std::shared_ptr<connection> GivenConnection)
-      : Connections(std::move(GivenConnections)),
-        Connection(std::move(GivenConnection)) {
-    Connections->insert(Connection);
-  }
-  ~registration() { Connections->erase(Connection); }
-  registration(const registration &) = delete;
-  registration &operator=(const registration &) = delete;
-
-  [[nodiscard]] connection &connectionOf() const { return *Connection; }
-
-private:
-  std::shared_ptr<connection_set> Connections;
-  std::shared_ptr<connection> Connection;
-};
-
-struct caller_server::connection {
-  explicit connection(tcp::socket Socket) : Stream(std::move(Socket)) {}
-
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
-  bool Serving = false;
-};
-
 caller_server::caller_server(traffic_context &Context,
                              const tcp::endpoint &Address, caller_limits Limits)
     : Context(Context), Acceptor(listenOn(Context.Io, Address)),
@@ -133,28 +89,9 @@
 }
 
 void caller_server::beginStop() {
-  acceptWaiting();
-  error_code Ignored;
-  Acceptor.close(Ignored);
-  // Cancels only the pending read and does not shut down the receiving side: a
-  // request that arrives at this moment would take the end of input for a
-  // disconnected caller.
-  for (const auto &Connection : *Connections)
-    if (!Connection->Serving && Connection->Buffer.size() == 0 &&
-        peekInput(Connection->Stream.socket()) == input_state::Nothing)
-      Connection->Stream.socket().cancel(Ignored);
-}
-
-//! Accepts what waits in the listener's queue, which its close would reset.
-void caller_server::acceptWaiting() {
-  error_code Error;
-  Acceptor.non_blocking(true, Error);
-  while (!Error) {
-    tcp::socket Socket(Context.Io);
-    Acceptor.accept(Socket, Error);
-    if (!Error)
-      admit(std::move(Socket));
-  }
+  closeAfterWaiting(Acceptor,
+                    [this](tcp::socket Socket) { admit(std::move(Socket)); });
+  Connections.cancelIdle();
 }
 
 asio::awaitable<void> caller_server::acceptLoop() {
@@ -166,25 +103,24 @@
 void caller_server::admit(tcp::socket Socket) {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
-  if (Connections->size() >= Limits.Connections)
+  if (Connections.size() >= Limits.Connections)
     return spawn(Context.Io.get_executor(),
                  refuseConnection(std::move(Socket), Context.Dialect),
                  "The refusal of a connection");
   // Registered before its coroutine runs: the server is not idle in between.
-  auto Registered = std::make_unique<registration>(
-      Connections, std::make_shared<connection>(std::move(Socket)));
-  spawn(Context.Io.get_executor(), serve(std::move(Registered)),
+  spawn(Context.Io.get_executor(), serve(Connections.add(std::move(Socket))),
         "A caller's connection");
 }
 
 //! Closing the connection after an error signals an incomplete response to the
 //! caller.
-asio::awaitable<void>
-caller_server::serve(std::unique_ptr<registration> Registered) {
+asio::awaitable<void> caller_server::serve(
+    std::unique_ptr<kept_connections::registration> Registered) {
   co_await serveRequests(Registered->connectionOf());
 }
 
-asio::awaitable<void> caller_server::serveRequests(connection &Connection) {
+asio::awaitable<void>
+caller_server::serveRequests(kept_connection &Connection) {
   for (bool KeepAlive = true; KeepAlive;) {
     request_stream_parser Parser;
     Parser.header_limit(callerBounds().HeaderBytes);
@@ -192,7 +128,7 @@
     const bool Read = co_await readHeader(Connection, Parser);
     if (!Read)
       co_return;
-    const serving_guard Serving(Connection.Serving);
+    const serving_guard Serving(Connection);
     exchange Exchange(Context, Connection.Stream, Connection.Buffer, Parser);
     KeepAlive = co_await Exchange.run();
   }
@@ -203,7 +139,7 @@
   return Context.View->Rules ? Context.View->Rules->Callers : Defaults;
 }
 
-asio::awaitable<bool> caller_server::readHeader(connection &Connection,
+asio::awaitable<bool> caller_server::readHeader(kept_connection &Connection,
                                                 request_stream_parser &Parser) {
   std::size_t Allowance = callerBounds().HeaderBytes;
   Connection.Buffer.max_size(
--- a/src/pomeloswitch/http/caller_server.hpp
+++ b/src/pomeloswitch/http/caller_server.hpp
@@ -3,16 +3,15 @@
 #define POMELOSWITCH_HTTP_CALLER_SERVER_HPP
 
 #include "pomeloswitch/http/exchange.hpp"
+#include "pomeloswitch/http/kept_connections.hpp"
 #include "pomeloswitch/http/traffic_context.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <chrono>
 #include <cstddef>
 #include <memory>
-#include <set>
 
 namespace pomelo {
 
@@ -38,31 +37,26 @@
   void beginStop();
 
   [[nodiscard]] std::size_t connectionCount() const {
-    return Connections->size();
+    return Connections.size();
   }
   //! Whether no connection is open.
-  [[nodiscard]] bool idle() const { return Connections->empty(); }
+  [[nodiscard]] bool idle() const { return Connections.empty(); }
 
 private:
-  struct connection;
-  class registration;
-  using connection_set = std::set<std::shared_ptr<connection>>;
-
   boost::asio::awaitable<void> acceptLoop();
-  void acceptWaiting();
   void admit(boost::asio::ip::tcp::socket Socket);
-  boost::asio::awaitable<void> serve(std::unique_ptr<registration> Registered);
-  boost::asio::awaitable<void> serveRequests(connection &Connection);
+  boost::asio::awaitable<void>
+  serve(std::unique_ptr<kept_connections::registration> Registered);
+  boost::asio::awaitable<void> serveRequests(kept_connection &Connection);
   [[nodiscard]] const caller_bounds &callerBounds() const;
   //! Reads a request header. Returns false if the connection must be closed.
-  boost::asio::awaitable<bool> readHeader(connection &Connection,
+  boost::asio::awaitable<bool> readHeader(kept_connection &Connection,
                                           request_stream_parser &Parser);
 
   traffic_context &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
   caller_limits Limits;
-  std::shared_ptr<connection_set> Connections =
-      std::make_shared<connection_set>();
+  kept_connections Connections;
 };
 
 } // namespace pomelo
