Control host: a stop answers the operators' calls that are open

What operators saw: the connection of a call that was under way at SIGTERM was closed without an answer, whether or not its change was committed.

The event loop was stopped at the signal.

Change: server_drain closes the listeners for small messages once their queues are accepted, waits until each connection is answered, 5.5 s at most, and only then stops the log and the loop. In the meantime the host goes on as a member of its group, so that changes commit and come in force.

--- a/apps/pomelo_control.cpp
+++ b/apps/pomelo_control.cpp
@@ -28,10 +28,7 @@
   // replicated state, not of the settings.
   reloadOnSignal(
       Io, [&Options] { parseControlSettings(readFile(Options.SettingsFile)); });
-  stopOnSignal(Io, [&Host, &Io] {
-    Host->stop();
-    Io.stop();
-  });
+  stopOnSignal(Io, [&Host, &Io] { Host->beginStop({}, [&Io] { Io.stop(); }); });
   writeReadyFile(Options.ReadyFile, Host->describe());
   Io.run();
   return 0;
--- a/src/pomeloswitch/control/control_host.cpp
+++ b/src/pomeloswitch/control/control_host.cpp
@@ -48,6 +48,8 @@
 //! Age of a leader's stamp up to which it carries out the change that bears it.
 constexpr milliseconds LongestForwarding = ChangePatience - LongestUnread;
 constexpr milliseconds ActivityLogInterval{5000};
+//! How long a stop waits for open calls; none waits longer for its commit.
+constexpr milliseconds LongestDrain{5500};
 
 //! In the order of control_activity.
 constexpr std::array<std::string_view, 8> ActivityNames{
@@ -151,11 +153,26 @@
               toString(AdminServer->address()));
 }
 
+void control_host::beginStop(std::vector<simple_server *> Others,
+                             std::function<void()> OnStopped) {
+  if (Drain)
+    return;
+  Logger.info("Stopping; answering the calls that are open.");
+  Others.push_back(AdminServer.get());
+  Drain = std::make_unique<server_drain>(
+      Io, std::move(Others), [this, OnStopped = std::move(OnStopped)] {
+        stop();
+        Logger.info("Stopped.");
+        OnStopped();
+      });
+  Drain->begin(LongestDrain);
+}
+
 void control_host::stop() {
   Ticker.cancel();
   Log->stop();
   Listener->stop();
-  AdminServer->stop();
+  AdminServer->beginStop();
 }
 
 replicated_log::applier control_host::makeApplier() {
--- a/src/pomeloswitch/control/control_host.hpp
+++ b/src/pomeloswitch/control/control_host.hpp
@@ -7,6 +7,7 @@
 #include "pomeloswitch/clock/stall_detector.hpp"
 #include "pomeloswitch/control/admin_api.hpp"
 #include "pomeloswitch/control/state_feed.hpp"
+#include "pomeloswitch/http/server_drain.hpp"
 #include "pomeloswitch/http/simple_server.hpp"
 #include "pomeloswitch/membership/lease_table.hpp"
 #include "pomeloswitch/observe/activity_meter.hpp"
@@ -27,6 +28,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -69,6 +71,13 @@
   ~control_host() override;
 
   void start();
+  //! Starts a graceful stop: operators and the callers of \p Others are no
+  //! longer accepted, but what was accepted is answered as if nothing had
+  //! happened, within a limit. Then stops and calls \p OnStopped. Has no effect
+  //! if a stop has begun.
+  void beginStop(std::vector<simple_server *> Others,
+                 std::function<void()> OnStopped);
+  //! Stops at once.
   void stop();
 
   //! Records a target's status report if this host is the confirmed leader, or
@@ -182,6 +191,7 @@
   std::unique_ptr<peer_listener> Listener;
   std::unique_ptr<admin_api> Admin;
   std::unique_ptr<simple_server> AdminServer;
+  std::unique_ptr<server_drain> Drain; //!< Null until a stop has begun.
   boost::asio::steady_timer Ticker;
   std::size_t PlannedInFlight = 0;
   std::uint64_t PlannedIndex = 0; //!< State index of the latest plan.
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -5,13 +5,12 @@
 #include "pomeloswitch/http/spawn.hpp"
 
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
 #include <exception>
+#include <utility>
 
 namespace pomelo {
 namespace {
@@ -24,7 +23,8 @@
 
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
-constexpr auto IdleTimeout = std::chrono::seconds(60);
+constexpr std::size_t FirstReadBytes = 4096;
+constexpr std::chrono::milliseconds IdleTimeout{60000};
 constexpr auto WriteTimeout = std::chrono::seconds(10);
 
 asio::awaitable<text_response> answer(const text_handler &Handler,
@@ -40,6 +40,17 @@
   }
 }
 
+//! Waits for the first bytes of a request.
+asio::awaitable<void> awaitRequest(kept_connection &Connection,
+                                   std::chrono::milliseconds Timeout) {
+  if (Connection.Buffer.size() > 0)
+    co_return;
+  Connection.Stream.expires_after(Timeout);
+  const std::size_t Count = co_await Connection.Stream.async_read_some(
+      Connection.Buffer.prepare(FirstReadBytes), asio::use_awaitable);
+  Connection.Buffer.commit(Count);
+}
+
 //! Reads a whole request. What frames the body counts as part of it.
 asio::awaitable<void>
 readRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
@@ -55,33 +66,13 @@
     throw boost::system::system_error(Error);
 }
 
-asio::awaitable<void> serve(tcp::socket Socket,
-                            std::shared_ptr<const text_handler> Handler) {
-  beast::tcp_stream Stream(std::move(Socket));
-  beast::flat_buffer Buffer{MaxUnparsedBytes};
-  for (bool KeepAlive = true; KeepAlive;) {
-    http::request_parser<http::string_body> Parser;
-    Parser.header_limit(MaxHeaderBytes);
-    Parser.body_limit(MaxBodyBytes);
-    Stream.expires_after(IdleTimeout);
-    co_await readRequest(Stream, Buffer, Parser);
-    const text_request Request = Parser.release();
-    text_response Response = co_await answer(*Handler, Request);
-    KeepAlive = Request.keep_alive();
-    Response.keep_alive(KeepAlive);
-    Stream.expires_after(WriteTimeout);
-    co_await http::async_write(Stream, Response, asio::use_awaitable);
-  }
-}
-
 } // namespace
 
 simple_server::simple_server(asio::io_context &Io, const tcp::endpoint &Address,
                              text_handler Handler)
-    : Acceptor(Io, Address) {
-  spawn(Io.get_executor(),
-        acceptLoop(Acceptor,
-                   std::make_shared<const text_handler>(std::move(Handler))),
+    : Acceptor(Io, Address), Shared(std::make_shared<shared_state>()) {
+  Shared->Handler = std::move(Handler);
+  spawn(Io.get_executor(), acceptLoop(Acceptor, Shared),
         "The listener for small messages");
 }
 
@@ -89,21 +80,51 @@
   return Acceptor.local_endpoint();
 }
 
-void simple_server::stop() {
-  boost::system::error_code Ignored;
-  Acceptor.close(Ignored);
+void simple_server::beginStop() {
+  if (std::exchange(Shared->Stopping, true))
+    return;
+  closeAfterWaiting(Acceptor, [this](tcp::socket Socket) {
+    admit(std::move(Socket), Shared);
+  });
+  Shared->Connections.cancelIdle();
 }
 
 asio::awaitable<void>
 simple_server::acceptLoop(tcp::acceptor &Acceptor,
-                          std::shared_ptr<const text_handler> Handler) {
-  while (Acceptor.is_open()) {
-    auto Socket = co_await acceptNext(Acceptor);
-    if (!Socket)
-      continue;
-    const auto Executor = Socket->get_executor();
-    spawn(Executor, serve(std::move(*Socket), Handler),
-          "A connection for small messages");
+                          std::shared_ptr<const shared_state> Shared) {
+  while (Acceptor.is_open())
+    if (auto Socket = co_await acceptNext(Acceptor))
+      admit(std::move(*Socket), Shared);
+}
+
+void simple_server::admit(tcp::socket Socket,
+                          const std::shared_ptr<const shared_state> &Shared) {
+  const auto Executor = Socket.get_executor();
+  spawn(Executor, serve(Shared->Connections.add(std::move(Socket)), Shared),
+        "A connection for small messages");
+}
+
+asio::awaitable<void>
+simple_server::serve(std::unique_ptr<kept_connections::registration> Registered,
+                     std::shared_ptr<const shared_state> Shared) {
+  kept_connection &Connection = Registered->connectionOf();
+  Connection.Buffer.max_size(MaxUnparsedBytes);
+  for (bool KeepAlive = true; KeepAlive;) {
+    http::request_parser<http::string_body> Parser;
+    Parser.header_limit(MaxHeaderBytes);
+    Parser.body_limit(MaxBodyBytes);
+    co_await awaitRequest(Connection,
+                          Shared->Stopping ? LastRequestWait : IdleTimeout);
+    const serving_guard Serving(Connection);
+    Connection.Stream.expires_after(IdleTimeout);
+    co_await readRequest(Connection.Stream, Connection.Buffer, Parser);
+    const text_request Request = Parser.release();
+    text_response Response = co_await answer(Shared->Handler, Request);
+    KeepAlive = Request.keep_alive() && !Shared->Stopping;
+    Response.keep_alive(KeepAlive);
+    Connection.Stream.expires_after(WriteTimeout);
+    co_await http::async_write(Connection.Stream, Response,
+                               asio::use_awaitable);
   }
 }
 
--- a/src/pomeloswitch/http/simple_server.hpp
+++ b/src/pomeloswitch/http/simple_server.hpp
@@ -4,6 +4,7 @@
 #define POMELOSWITCH_HTTP_SIMPLE_SERVER_HPP
 
 #include "pomeloswitch/http/error_response.hpp"
+#include "pomeloswitch/http/kept_connections.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -31,14 +32,32 @@
                 text_handler Handler);
 
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
-  void stop();
+
+  //! Stops accepting and closes idle connections; the others are closed once
+  //! their requests are answered.
+  void beginStop();
+  //! Whether no connection is open.
+  [[nodiscard]] bool idle() const { return Shared->Connections.empty(); }
 
 private:
+  //! What the connections use, which may outlive the server.
+  struct shared_state {
+    text_handler Handler;
+    kept_connections Connections;
+    bool Stopping = false;
+  };
+
   static boost::asio::awaitable<void>
   acceptLoop(boost::asio::ip::tcp::acceptor &Acceptor,
-             std::shared_ptr<const text_handler> Handler);
+             std::shared_ptr<const shared_state> Shared);
+  static void admit(boost::asio::ip::tcp::socket Socket,
+                    const std::shared_ptr<const shared_state> &Shared);
+  static boost::asio::awaitable<void>
+  serve(std::unique_ptr<kept_connections::registration> Registered,
+        std::shared_ptr<const shared_state> Shared);
 
   boost::asio::ip::tcp::acceptor Acceptor;
+  std::shared_ptr<shared_state> Shared;
 };
 
 } // namespace pomelo
