Daemons: signals stay caught until the process has ended

The signal sets end with the event loop, and the end of the last set restores the default action, while the process still winds up. A repeated signal within that time ended it.

Change: a set that is never destroyed holds the signals too.

--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <initializer_list>
 #include <memory>
 
 namespace pomelo {
@@ -71,6 +72,16 @@
 
 namespace {
 
+//! Keeps \p Numbers caught after the event loop, until the process has ended:
+//! the end of the last signal set restores their default action.
+void catchForLife(std::initializer_list<int> Numbers) {
+  static const auto Io = std::make_unique<boost::asio::io_context>().release();
+  static const auto Signals =
+      std::make_unique<boost::asio::signal_set>(*Io).release();
+  for (const int Number : Numbers)
+    Signals->add(Number);
+}
+
 //! Calls \p OnSignal at each of \p Signals. Goes on waiting after the first: an
 //! uncaught signal would end the process.
 void callAtEach(const std::shared_ptr<boost::asio::signal_set> &Signals,
@@ -98,6 +109,7 @@
 
 void stopOnSignal(boost::asio::io_context &Io,
                   const std::function<void()> &OnStop) {
+  catchForLife({SIGTERM, SIGINT});
   callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT),
              [OnStop](int Number) {
                component_logger("daemon").info("Signal {} received.", Number);
@@ -107,6 +119,7 @@
 
 void reloadOnSignal(boost::asio::io_context &Io,
                     const std::function<void()> &OnReload) {
+  catchForLife({SIGHUP});
   callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGHUP),
              [OnReload](int) { reload(OnReload); });
 }
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -4,9 +4,11 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 namespace pomelo::emulator {
@@ -152,5 +154,46 @@
         signal_series{"stop_after_reload", {SIGHUP, SIGTERM, SIGTERM}}),
     [](const auto &Info) { return Info.param.Name; });
 
+//! A host of a deployment whose stops end at once, and a signal.
+using storm_case = std::tuple<std::string, int>;
+
+class signal_storm : public testing::TestWithParam<storm_case> {
+protected:
+  static deployment_plan plan() {
+    deployment_plan Plan;
+    Plan.FailureDomains = {"a"};
+    Plan.EntrySettings = {{"stop_notice_ms", 0}, {"stop_grace_ms", 0}};
+    return Plan;
+  }
+};
+
+// A signal after the end of the event loop ended the process.
+TEST_P(signal_storm, does_not_change_the_exit_code) {
+  constexpr int Stops = 5;
+  const auto &[HostId, Signal] = GetParam();
+  const auto Deployment = deployment::builder().withPlan(plan()).build();
+  for (int Stop = 0; Stop < Stops; ++Stop) {
+    child_process &Host = *Deployment->at(HostId).Process;
+    Host.signal(SIGTERM);
+    while (Host.running()) {
+      Host.signal(Signal);
+      std::this_thread::sleep_for(std::chrono::microseconds(50));
+    }
+    EXPECT_EQ(Host.wait(milliseconds(0)), 0);
+    Deployment->restart(HostId);
+  }
+}
+
+std::string nameOf(const testing::TestParamInfo<storm_case> &Info) {
+  const auto &[HostId, Signal] = Info.param;
+  return HostId.substr(HostId.size() - 2) + "_" + sigabbrev_np(Signal);
+}
+
+INSTANTIATE_TEST_SUITE_P(hosts, signal_storm,
+                         testing::Combine(testing::Values("c1", "a-e1"),
+                                          testing::Values(SIGTERM, SIGINT,
+                                                          SIGHUP)),
+                         nameOf);
+
 } // namespace
 } // namespace pomelo::emulator
