--- a/src/pomeloswitch/entry/replicated_records.cpp
+++ b/src/pomeloswitch/entry/replicated_records.cpp
@@ -1,6 +1,7 @@
 #include "pomeloswitch/entry/replicated_records.hpp"
 
 #include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/state/committed_command.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <boost/asio/post.hpp>
@@ -117,13 +118,16 @@
 }
 
 //! Proposes the command, and retries until it is committed or \p Timeout has
-//! passed.
+//! passed. The leader closes the link of a host that sends what cannot be read.
 void replicated_records::proposeUntilCommitted(command_ptr Command,
                                                milliseconds Timeout,
                                                result_handler Done) {
   boost::asio::post(Io, [this, Command = std::move(Command), Timeout,
                          Done = std::move(Done)] {
-    if (PendingCommands >= MaxPendingCommands)
+    const bool Readable = isReadableCommand(Command->SerializeAsString());
+    if (!Readable)
+      Log.error("Not proposed: a command with a text that is not UTF-8.");
+    if (!Readable || PendingCommands >= MaxPendingCommands)
       return Done ? Done(nullptr) : void();
     ++PendingCommands;
     proposeOnce(Command, steady_clock::now() + Timeout,
--- a/src/pomeloswitch/entry/replicated_records.hpp
+++ b/src/pomeloswitch/entry/replicated_records.hpp
@@ -2,6 +2,7 @@
 #ifndef POMELOSWITCH_ENTRY_REPLICATED_RECORDS_HPP
 #define POMELOSWITCH_ENTRY_REPLICATED_RECORDS_HPP
 
+#include "pomeloswitch/observe/log.hpp"
 #include "pomeloswitch/retry/request_state_client.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,7 @@
   std::uint64_t Incarnation;
   std::atomic<std::uint64_t> NextNumber{1};
   std::size_t PendingCommands = 0;
+  component_logger Log{"entry.records"};
 };
 
 } // namespace pomelo
--- a/tests/control/unreadable_command_test.cpp
+++ b/tests/control/unreadable_command_test.cpp
@@ -1,6 +1,7 @@
 //! Commands in the log that cannot be read, and changes that would write one.
 #include "control/control_host_fixture.hpp"
 #include "pomeloswitch/entry/control_session.hpp"
+#include "pomeloswitch/entry/replicated_records.hpp"
 #include "pomeloswitch_wire/inner.pb.h"
 
 #include <optional>
@@ -30,9 +31,7 @@
     Control->log().propose(Bytes, [](const proposal_outcome &) {});
   }
 
-  //! Expects that an entry host that starts now reads the state to its end.
-  void expectEntryHostFollows() {
-    entry_settings Settings;
+  std::unique_ptr<control_session> startSession() {
     Settings.HostId = "e1";
     Settings.ClusterSecret = Secret;
     Settings.ControlHosts = {{"c1", peerAddress()}};
@@ -47,14 +46,26 @@
     Callbacks.OnLease = [](lease_time) {};
     Callbacks.OnOutdated = [] {};
     Callbacks.OnAck = [](const wire::heartbeat_ack &) {};
-    control_session Session(Io, Settings, 1, std::move(Callbacks));
-    Session.start();
-    EXPECT_TRUE(
-        runUntil([&] { return Session.state().targets().contains("after"); }));
+    auto Session = std::make_unique<control_session>(Io, Settings, 1,
+                                                     std::move(Callbacks));
+    Session->start();
+    return Session;
+  }
+  void stop(control_session &Session) {
     Session.stop();
     Control->stop();
     Io.run_for(std::chrono::milliseconds(100));
   }
+
+  //! Expects that an entry host that starts now reads the state to its end.
+  void expectEntryHostFollows() {
+    const auto Session = startSession();
+    EXPECT_TRUE(
+        runUntil([&] { return Session->state().targets().contains("after"); }));
+    stop(*Session);
+  }
+
+  entry_settings Settings;
 };
 
 struct unreadable_case {
@@ -118,5 +129,30 @@
                                                          "\xed\xa0\x80"}),
                          [](const auto &Info) { return Info.param.Name; });
 
+class unreadable_record : public unreadable_fixture {
+protected:
+  //! Claims a key for \p Account; returns the verdict, and None without one.
+  claim_verdict claim(replicated_records &Records, const std::string &Account) {
+    std::optional<claim_verdict> Verdict;
+    Records.claim({Account, "key hash", "fingerprint", 0},
+                  [&](const claim_reply &Reply) { Verdict = Reply.Verdict; });
+    runUntil([&] { return Verdict.has_value(); });
+    return Verdict.value_or(claim_verdict::None);
+  }
+};
+
+// The leader closed the host's link, on which all of its requests depend.
+TEST_F(unreadable_record, fails_alone) {
+  const auto Session = startSession();
+  replicated_records Records(Io, *Session, "e1", 1);
+  EXPECT_EQ(claim(Records, "large"), claim_verdict::Granted);
+  const auto Begun = std::chrono::steady_clock::now();
+  EXPECT_EQ(claim(Records, "caf\xe9"), claim_verdict::None);
+  EXPECT_LT(std::chrono::steady_clock::now() - Begun,
+            std::chrono::milliseconds(500));
+  EXPECT_TRUE(Records.idle());
+  stop(*Session);
+}
+
 } // namespace
 } // namespace pomelo
--- a/tests/state/claim_table_test.cpp
+++ b/tests/state/claim_table_test.cpp
@@ -193,5 +193,22 @@
             claim_verdict::InProgress);
 }
 
+class kept_field : public testing::TestWithParam<std::string> {};
+
+// The leader closed the link of an entry host that sent such a value.
+TEST_P(kept_field, is_carried_as_octets) {
+  const kept_answer Answer{201, {{"Location", GetParam()}}, "body", true};
+  wire::command Command;
+  writeMessage(Answer, *Command.mutable_finish_claim()->mutable_answer());
+  wire::command Received;
+  ASSERT_TRUE(Received.ParseFromString(Command.SerializeAsString()));
+  EXPECT_EQ(toKeptAnswer(Received.finish_claim().answer()).Fields,
+            Answer.Fields);
+}
+
+INSTANTIATE_TEST_SUITE_P(each, kept_field,
+                         testing::Values("/caf\xe9", "\xff\xfe", "\x80",
+                                         "/caf\xc3\xa9", ""));
+
 } // namespace
 } // namespace pomelo
