Uploads: an interim response does not end the body

The target waited for the rest of the body.

Cause: any input from the target while a body was streamed counted as its final response, and stopped the transfer.

Change: response_watch takes complete interim responses off the connection and goes on, within the 64 KiB that all header sections of a response may have together; 101 counts as final. The test caller of rejected uploads is shared.

--- a/src/pomeloswitch/http/target_dispatch.cpp
+++ b/src/pomeloswitch/http/target_dispatch.cpp
@@ -1,9 +1,9 @@
 #include "pomeloswitch/http/target_dispatch.hpp"
 
 #include "pomeloswitch/errors/error_kind.hpp"
-#include "pomeloswitch/http/input_observer.hpp"
 #include "pomeloswitch/http/limited_read.hpp"
 #include "pomeloswitch/http/link_turn.hpp"
+#include "pomeloswitch/http/response_watch.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -143,8 +143,9 @@
   co_return Error;
 }
 
-//! Streams the body from the caller. If the target responds before the end of
-//! the body, e.g. with an error, both directions of the transfer stop.
+//! Streams the body from the caller. If the target's final response comes
+//! before the end of the body, e.g. an error, both directions of the transfer
+//! stop.
 asio::awaitable<void> target_dispatch::streamBody(const relayed_header &Header,
                                                   std::uint64_t MaxBodyBytes) {
   paced_message Message(Header);
@@ -154,12 +155,11 @@
   Message.body().data = nullptr;
   Message.body().more = true;
   error_code Error;
-  const input_observer Observer(Connection.Stream.socket(),
-                                [this](input_state) {
-                                  EarlyResponse = true;
-                                  Body.interrupt();
-                                  Connection.Stream.cancel();
-                                });
+  const response_watch Watch(Connection, HeaderAllowance, [this] {
+    EarlyResponse = true;
+    Body.interrupt();
+    Connection.Stream.cancel();
+  });
   co_await http::async_write_header(Connection.Stream, Serializer,
                                     redirect(Error));
   if (!Error && !EarlyResponse && !Body.prefix().empty())
--- a/tests/http/rejected_upload_test.cpp
+++ b/tests/http/rejected_upload_test.cpp
@@ -1,31 +1,16 @@
 //! Uploads that a target rejects before it has read them.
-#include "traffic_fixture.hpp"
+#include "uploading_caller.hpp"
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-#include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include <thread>
-
 namespace pomelo {
 namespace {
 
-using std::chrono::milliseconds;
-
 constexpr double LinkBytesPerSecond = 250'000;
 constexpr std::size_t BodyBytes = 200'000;
 const std::string NotRunResponse = "HTTP/1.1 503 Busy\r\nPomelo-Not-Run: shed"
                                    "\r\nContent-Length: 0\r\n\r\n";
 
-std::string bodyOf(std::size_t Bytes) {
-  std::string Body;
-  while (Body.size() < Bytes)
-    Body += std::to_string(Body.size()) + ";";
-  Body.resize(Bytes);
-  return Body;
-}
-
 //! What the first target reads before it rejects, and when the caller sends.
 struct rejected_upload_case {
   std::string Name;
@@ -41,50 +26,6 @@
   *Out << Case.Name;
 }
 
-//! Sends an upload in pieces, with one pause, and returns the status line.
-class uploading_caller {
-public:
-  uploading_caller(const traffic_fixture &Traffic, bool Chunked)
-      : Chunked(Chunked), Socket(Io) {
-    Socket.connect(parseEndpoint(Traffic.address()));
-  }
-
-  std::string upload(const std::string &Body, std::size_t PauseAfter) {
-    write("POST /unsafe HTTP/1.1\r\nHost: h\r\n" +
-          (Chunked ? std::string("Transfer-Encoding: chunked\r\n\r\n")
-                   : fmt::format("Content-Length: {}\r\n\r\n", Body.size())));
-    writeBody(Body.substr(0, PauseAfter));
-    std::this_thread::sleep_for(milliseconds(300));
-    writeBody(Body.substr(PauseAfter));
-    if (Chunked)
-      write("0\r\n\r\n");
-    std::string Response;
-    boost::system::error_code Error;
-    boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Response),
-                            "\r\n", Error);
-    return Response.substr(0, Response.find('\r'));
-  }
-
-private:
-  void write(const std::string &Text) {
-    boost::system::error_code Ignored;
-    boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
-  }
-  void writeBody(std::string_view Body) {
-    constexpr std::size_t PieceBytes = 8192;
-    for (; !Body.empty();
-         Body.remove_prefix(std::min(PieceBytes, Body.size()))) {
-      const std::string Piece(Body.substr(0, PieceBytes));
-      write(Chunked ? fmt::format("{:x}\r\n{}\r\n", Piece.size(), Piece)
-                    : Piece);
-    }
-  }
-
-  bool Chunked;
-  boost::asio::io_context Io;
-  boost::asio::ip::tcp::socket Socket;
-};
-
 class rejected_upload : public testing::TestWithParam<rejected_upload_case> {};
 
 // Guards against uploads that the second target gets cut to their first 64 KiB,
