Connection pool: a wait that is destroyed leaves the queue

If its coroutine is destroyed with the event loop, a connection that is returned afterwards was offered to a timer that no longer exists.

Change: a guard takes the timer out.

--- a/src/pomeloswitch/http/upstream_pool.cpp
+++ b/src/pomeloswitch/http/upstream_pool.cpp
@@ -94,19 +94,23 @@
 
 asio::awaitable<void> upstream_pool::awaitFreeConnection(const std::string &Key,
                                                          steady_time Deadline) {
+  target_pool &Pool = Pools[Key];
   waiter Timer(Executor, Deadline);
-  Pools[Key].Waiters.push_back(&Timer);
+  // Also if the coroutine is destroyed while it waits.
+  const struct queue_guard {
+    ~queue_guard() { std::erase(Pool.Waiters, &Timer); }
+    target_pool &Pool;
+    waiter &Timer;
+  } QueueGuard{Pool, Timer};
+  Pool.Waiters.push_back(&Timer);
   error_code Error;
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
   // release() removes a waiter from the queue, leaves InUse unchanged so that
   // the waiter inherits the released slot, and then cancels its timer.
-  auto &Waiters = Pools[Key].Waiters;
-  const auto Place = std::find(Waiters.begin(), Waiters.end(), &Timer);
-  if (Place == Waiters.end()) {
-    --Pools[Key].Promised;
+  if (std::ranges::find(Pool.Waiters, &Timer) == Pool.Waiters.end()) {
+    --Pool.Promised;
     co_return;
   }
-  Waiters.erase(Place);
   throw pomelo_error(error_kind::Overloaded,
                      "no connection to the target became available in time");
 }
--- a/tests/http/upstream_pool_test.cpp
+++ b/tests/http/upstream_pool_test.cpp
@@ -67,5 +67,22 @@
   EXPECT_EQ(Outcome.Failure, error_kind::UpstreamFailed);
 }
 
+// A connection that was returned then was offered to the wait that had ended.
+TEST_F(upstream_pool_fixture,
+       a_wait_that_ends_with_its_event_loop_leaves_no_trace) {
+  acquisition First;
+  beginToAcquire(First);
+  Io.run_for(Patience);
+  ASSERT_TRUE(First.Connection);
+  acquisition Waiting;
+  Io.restart();
+  beginToAcquire(Waiting);
+  EXPECT_EQ(Pool.load(Target), 2U);
+  Io.shutdown();
+  EXPECT_EQ(Pool.load(Target), 1U);
+  First.Connection.reset();
+  EXPECT_EQ(Pool.load(Target), 0U);
+}
+
 } // namespace
 } // namespace pomelo
