Control group: an operator's change that meets another is asked for again

Cause: the group changes itself, when a host joins or a voter is replaced, and a new leader has its first entry to commit. An operator's change that came within that time was refused as invalid, which says that it needs a correction, and pomeloctl's client gave up.

Change: such a change is answered 503 no_quorum, as one that is not confirmed yet; the client sends it again within its time limit. The commands are idempotent by host and address.

Measured: raft_log_alone.asks_for_a_membership_change_again_after_another was red before (invalid_change).

--- a/src/pomeloswitch/raft/raft_core.hpp
+++ b/src/pomeloswitch/raft/raft_core.hpp
@@ -70,6 +70,8 @@
   std::optional<std::string> addLearner(const wire::raft_member &Member);
   //! The removed replica is not taken in again.
   std::optional<std::string> removeMember(const std::string &HostId);
+  //! Returns why no membership change at all is possible now.
+  [[nodiscard]] std::optional<std::string> changeRefusal() const;
 
   // ---- Outputs
   //! Returns the messages that may be sent immediately.
@@ -187,8 +189,6 @@
   bool isVoter(const std::string &HostId) const;
   std::size_t voterCount() const;
   std::size_t quorum() const;
-  //! Returns why no membership change is possible now, or nullopt.
-  std::optional<std::string> changeRefusal() const;
   std::optional<std::string> proposeConfig(wire::raft_config Config);
   //! Updates Progress after a configuration change; new replicas start over.
   void rebuildProgress();
--- a/src/pomeloswitch/raft/raft_log.cpp
+++ b/src/pomeloswitch/raft/raft_log.cpp
@@ -428,6 +428,13 @@
     throw pomelo_error(error_kind::NotLeader, "this host is not the leader");
 }
 
+//! The group changes itself as well, e.g. when a host joins.
+void raft_log::requireNoOtherChange() const {
+  if (const auto Refusal = Core.changeRefusal())
+    throw pomelo_error(error_kind::NoQuorum,
+                       *Refusal + "; send this one again");
+}
+
 std::uint64_t raft_log::addMember(const host_address &Host,
                                   const std::string &Replaces) {
   requireLeadership();
@@ -436,6 +443,7 @@
     if (Known.host_id() == Host.Id && Known.address() == Host.Address &&
         (Known.voter() || Known.replaces() == Replaces))
       return Core.log().configIndex();
+  requireNoOtherChange();
   wire::raft_member Member;
   Member.set_host_id(Host.Id);
   Member.set_address(Host.Address);
@@ -448,6 +456,7 @@
 
 std::uint64_t raft_log::removeMember(const std::string &HostId) {
   requireLeadership();
+  requireNoOtherChange();
   if (const auto Refusal = Core.removeMember(HostId))
     throw pomelo_error(error_kind::InvalidChange, *Refusal);
   scheduleAdvance();
--- a/src/pomeloswitch/raft/raft_log.hpp
+++ b/src/pomeloswitch/raft/raft_log.hpp
@@ -130,6 +130,7 @@
   void restore(stored_state Stored);
   void failProposals(error_kind Kind);
   void requireLeadership() const;
+  void requireNoOtherChange() const;
   [[nodiscard]] std::string addressOf(const wire::raft_member &Member) const;
   //! Returns the address that the settings give \p HostId, or nothing.
   [[nodiscard]] std::optional<std::string>
--- a/src/pomeloswitch/raft/replicated_log.hpp
+++ b/src/pomeloswitch/raft/replicated_log.hpp
@@ -119,7 +119,9 @@
   //! it has all committed entries durably, and then removes the host
   //! \p Replaces unless that is empty. Returns the log index whose commit
   //! makes the change durable.
-  //! \throws pomelo_error NotLeader, or InvalidChange with the reason.
+  //! \throws pomelo_error NotLeader, NoQuorum while an earlier change, which
+  //! the group may have made by itself, is not committed, or InvalidChange with
+  //! the reason.
   virtual std::uint64_t addMember(const host_address &Host,
                                   const std::string &Replaces) = 0;
   //! Starts removing \p HostId from the group. Returns and throws like
--- a/tests/raft/raft_log_test.cpp
+++ b/tests/raft/raft_log_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <functional>
 
 namespace pomelo {
 namespace {
@@ -84,6 +85,29 @@
   EXPECT_TRUE(Log->leadershipConfirmed());
 }
 
+// An operator was told that the change is invalid, and did not send it again.
+TEST_F(raft_log_alone, asks_for_a_membership_change_again_after_another) {
+  constexpr int Unlimited = 1000;
+  start(Unlimited);
+  ASSERT_TRUE(runUntil([&] { return IsLeader; }));
+  const std::uint64_t Added = Log->addMember({"c2", "127.0.0.1:2"}, "");
+  const auto failureOf = [](const std::function<void()> &Change) {
+    try {
+      Change();
+    } catch (const pomelo_error &Failure) {
+      return std::optional(Failure.kind());
+    }
+    return std::optional<error_kind>();
+  };
+  EXPECT_EQ(failureOf([&] {
+              Log->addMember({"c3", "127.0.0.1:3"}, "");
+            }),
+            error_kind::NoQuorum);
+  EXPECT_EQ(failureOf([&] { Log->removeMember("c2"); }), error_kind::NoQuorum);
+  ASSERT_TRUE(runUntil([&] { return Log->commitIndex() >= Added; }));
+  EXPECT_EQ(failureOf([&] { Log->removeMember("c2"); }), std::nullopt);
+}
+
 TEST_F(raft_log_alone, founds_no_group_without_the_right_to) {
   constexpr int Unlimited = 1000;
   start(Unlimited, false);
