--- a/tests/raft/raft_log_test.cpp
+++ b/tests/raft/raft_log_test.cpp
@@ -91,7 +91,7 @@
   start(Unlimited);
   ASSERT_TRUE(runUntil([&] { return IsLeader; }));
   const std::uint64_t Added = Log->addMember({"c2", "127.0.0.1:2"}, "");
-  const auto failureOf = [](const std::function<void()> &Change) {
+  const auto FailureOf = [](const std::function<void()> &Change) {
     try {
       Change();
     } catch (const pomelo_error &Failure) {
@@ -99,13 +99,13 @@
     }
     return std::optional<error_kind>();
   };
-  EXPECT_EQ(failureOf([&] {
+  EXPECT_EQ(FailureOf([&] {
               Log->addMember({"c3", "127.0.0.1:3"}, "");
             }),
             error_kind::NoQuorum);
-  EXPECT_EQ(failureOf([&] { Log->removeMember("c2"); }), error_kind::NoQuorum);
+  EXPECT_EQ(FailureOf([&] { Log->removeMember("c2"); }), error_kind::NoQuorum);
   ASSERT_TRUE(runUntil([&] { return Log->commitIndex() >= Added; }));
-  EXPECT_EQ(failureOf([&] { Log->removeMember("c2"); }), std::nullopt);
+  EXPECT_EQ(FailureOf([&] { Log->removeMember("c2"); }), std::nullopt);
 }
 
 TEST_F(raft_log_alone, founds_no_group_without_the_right_to) {
