--- a/tests/http/interim_response_test.cpp
+++ b/tests/http/interim_response_test.cpp
@@ -83,6 +83,56 @@
                                   (std::get<1>(Info.param) ? "_chunked" : "");
                          });
 
+//! What a target writes within an upload, in pieces, before it closes.
+struct final_case {
+  std::string Name;
+  std::vector<std::string> Writes;
+  std::string Status;
+};
+
+void PrintTo(const final_case &Case, std::ostream *Out) { *Out << Case.Name; }
+
+class final_after_interim : public testing::TestWithParam<final_case> {};
+
+TEST_P(final_after_interim, ends_an_upload_before_its_deadline) {
+  scripted_target Target([&](scripted_connection &Connection, unsigned) {
+    if (Connection.readRequest().empty())
+      return;
+    for (const std::string &Text : GetParam().Writes) {
+      Connection.write(Text);
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  });
+  traffic_fixture Traffic(Target.address(), 1);
+  uploading_caller Caller(Traffic, true);
+  const auto Begun = steady_clock::now();
+  EXPECT_EQ(Caller.upload(bodyOf(BodyBytes), BodyBytes / 2),
+            "HTTP/1.1 " + GetParam().Status);
+  EXPECT_LT(steady_clock::now() - Begun, std::chrono::seconds(1));
+}
+
+const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string Unsigned = "HTTP/1.1 500 Bad\r\n"
+                             "Content-Length: 0\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    each, final_after_interim,
+    testing::Values(
+        final_case{"no_interim", {Unsigned}, "500 Bad"},
+        final_case{"in_one_write", {Interim + Unsigned}, "500 Bad"},
+        final_case{"split_in_status",
+                   {Interim + "HTTP/1.", Unsigned.substr(7)},
+                   "500 Bad"},
+        final_case{"split_after_interim_start",
+                   {Interim + "HTTP/1.1 1", "03 x\r\n\r\n" + Unsigned},
+                   "500 Bad"},
+        final_case{"closed", {Interim}, "502 Bad Gateway"},
+        final_case{
+            "half_a_final", {Interim + "HTTP/1.1 50"}, "502 Bad Gateway"},
+        final_case{"half_an_interim", {"HTTP/1.1 10"}, "502 Bad Gateway"},
+        final_case{"switching", {"HTTP/1.1 101 x\r\n\r\n"}, "502 Bad Gateway"}),
+    [](const auto &Info) { return Info.param.Name; });
+
 class endless_interim : public testing::TestWithParam<std::string> {};
 
 TEST_P(endless_interim, ends_an_upload_before_its_deadline) {
