Control host: only whole calls hold its stop

Cause: the drain waited for every connection on which a byte of a request had come, which may take 60 s.

Change: the drain ends once no whole call has been open for 0.5 s, the time that a further request has on a kept connection. An answer that begins in a stop has 1 s to be read.

--- a/src/pomeloswitch/http/server_drain.cpp
+++ b/src/pomeloswitch/http/server_drain.cpp
@@ -19,15 +19,23 @@
       Timer(Io) {}
 
 void server_drain::begin(std::chrono::milliseconds Limit) {
-  Deadline = steady_clock::now() + Limit;
+  LastOpen = steady_clock::now();
+  Deadline = LastOpen + Limit;
   for (simple_server *Server : Servers)
     Server->beginStop();
   poll();
 }
 
+bool server_drain::ended() {
+  const auto Now = steady_clock::now();
+  if (std::ranges::any_of(Servers, &simple_server::openCalls))
+    LastOpen = Now;
+  return std::ranges::all_of(Servers, &simple_server::idle) ||
+         Now >= std::min(Deadline, LastOpen + LastRequestWait);
+}
+
 void server_drain::poll() {
-  if (std::ranges::all_of(Servers, &simple_server::idle) ||
-      steady_clock::now() >= Deadline)
+  if (ended())
     return OnEnd();
   Timer.expires_after(PollInterval);
   Timer.async_wait([this](boost::system::error_code Error) {
--- a/src/pomeloswitch/http/server_drain.hpp
+++ b/src/pomeloswitch/http/server_drain.hpp
@@ -21,17 +21,20 @@
                std::vector<simple_server *> GivenServers,
                std::function<void()> GivenOnEnd);
 
-  //! Stops the servers. The callback is called once, when no connection is open
-  //! or after \p Limit. To be called once.
+  //! Stops the servers. The callback is called once, when no connection is
+  //! open, when no call was open for LastRequestWait, whatever has arrived of
+  //! others, or after \p Limit. To be called once.
   void begin(std::chrono::milliseconds Limit);
 
 private:
   void poll();
+  [[nodiscard]] bool ended();
 
   std::vector<simple_server *> Servers;
   std::function<void()> OnEnd;
   boost::asio::steady_timer Timer;
   std::chrono::steady_clock::time_point Deadline{};
+  std::chrono::steady_clock::time_point LastOpen{}; //!< When a call was open.
 };
 
 } // namespace pomelo
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -25,7 +25,9 @@
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::chrono::milliseconds IdleTimeout{60000};
-constexpr auto WriteTimeout = std::chrono::seconds(10);
+constexpr std::chrono::milliseconds WriteTimeout{10000};
+//! For a caller that is slow to read while the server stops.
+constexpr std::chrono::milliseconds LastWriteTimeout{1000};
 
 asio::awaitable<text_response> answer(const text_handler &Handler,
                                       const text_request &Request) {
@@ -40,6 +42,18 @@
   }
 }
 
+//! Counts a call as open for its own lifetime.
+class open_call {
+public:
+  explicit open_call(std::size_t &Count) : Count(Count) { ++Count; }
+  ~open_call() { --Count; }
+  open_call(const open_call &) = delete;
+  open_call &operator=(const open_call &) = delete;
+
+private:
+  std::size_t &Count;
+};
+
 //! Waits for the first bytes of a request.
 asio::awaitable<void> awaitRequest(kept_connection &Connection,
                                    std::chrono::milliseconds Timeout) {
@@ -91,14 +105,14 @@
 
 asio::awaitable<void>
 simple_server::acceptLoop(tcp::acceptor &Acceptor,
-                          std::shared_ptr<const shared_state> Shared) {
+                          std::shared_ptr<shared_state> Shared) {
   while (Acceptor.is_open())
     if (auto Socket = co_await acceptNext(Acceptor))
       admit(std::move(*Socket), Shared);
 }
 
 void simple_server::admit(tcp::socket Socket,
-                          const std::shared_ptr<const shared_state> &Shared) {
+                          const std::shared_ptr<shared_state> &Shared) {
   const auto Executor = Socket.get_executor();
   spawn(Executor, serve(Shared->Connections.add(std::move(Socket)), Shared),
         "A connection for small messages");
@@ -106,26 +120,34 @@
 
 asio::awaitable<void>
 simple_server::serve(std::unique_ptr<kept_connections::registration> Registered,
-                     std::shared_ptr<const shared_state> Shared) {
+                     std::shared_ptr<shared_state> Shared) {
   kept_connection &Connection = Registered->connectionOf();
   Connection.Buffer.max_size(MaxUnparsedBytes);
   for (bool KeepAlive = true; KeepAlive;) {
-    http::request_parser<http::string_body> Parser;
-    Parser.header_limit(MaxHeaderBytes);
-    Parser.body_limit(MaxBodyBytes);
     co_await awaitRequest(Connection,
                           Shared->Stopping ? LastRequestWait : IdleTimeout);
     const serving_guard Serving(Connection);
-    Connection.Stream.expires_after(IdleTimeout);
-    co_await readRequest(Connection.Stream, Connection.Buffer, Parser);
-    const text_request Request = Parser.release();
-    text_response Response = co_await answer(Shared->Handler, Request);
-    KeepAlive = Request.keep_alive() && !Shared->Stopping;
-    Response.keep_alive(KeepAlive);
-    Connection.Stream.expires_after(WriteTimeout);
-    co_await http::async_write(Connection.Stream, Response,
-                               asio::use_awaitable);
+    KeepAlive = co_await serveRequest(Connection, *Shared);
   }
 }
 
+//! Returns whether the connection may be kept.
+asio::awaitable<bool> simple_server::serveRequest(kept_connection &Connection,
+                                                  shared_state &Shared) {
+  http::request_parser<http::string_body> Parser;
+  Parser.header_limit(MaxHeaderBytes);
+  Parser.body_limit(MaxBodyBytes);
+  Connection.Stream.expires_after(IdleTimeout);
+  co_await readRequest(Connection.Stream, Connection.Buffer, Parser);
+  const open_call OpenCall(Shared.OpenCalls);
+  const text_request Request = Parser.release();
+  text_response Response = co_await answer(Shared.Handler, Request);
+  const bool KeepAlive = Request.keep_alive() && !Shared.Stopping;
+  Response.keep_alive(KeepAlive);
+  Connection.Stream.expires_after(Shared.Stopping ? LastWriteTimeout
+                                                  : WriteTimeout);
+  co_await http::async_write(Connection.Stream, Response, asio::use_awaitable);
+  co_return KeepAlive;
+}
+
 } // namespace pomelo
--- a/src/pomeloswitch/http/simple_server.hpp
+++ b/src/pomeloswitch/http/simple_server.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -38,23 +39,28 @@
   void beginStop();
   //! Whether no connection is open.
   [[nodiscard]] bool idle() const { return Shared->Connections.empty(); }
+  //! Number of whole requests that are not answered yet.
+  [[nodiscard]] std::size_t openCalls() const { return Shared->OpenCalls; }
 
 private:
   //! What the connections use, which may outlive the server.
   struct shared_state {
     text_handler Handler;
     kept_connections Connections;
+    std::size_t OpenCalls = 0;
     bool Stopping = false;
   };
 
   static boost::asio::awaitable<void>
   acceptLoop(boost::asio::ip::tcp::acceptor &Acceptor,
-             std::shared_ptr<const shared_state> Shared);
+             std::shared_ptr<shared_state> Shared);
   static void admit(boost::asio::ip::tcp::socket Socket,
-                    const std::shared_ptr<const shared_state> &Shared);
+                    const std::shared_ptr<shared_state> &Shared);
   static boost::asio::awaitable<void>
   serve(std::unique_ptr<kept_connections::registration> Registered,
-        std::shared_ptr<const shared_state> Shared);
+        std::shared_ptr<shared_state> Shared);
+  static boost::asio::awaitable<bool> serveRequest(kept_connection &Connection,
+                                                   shared_state &Shared);
 
   boost::asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<shared_state> Shared;
--- a/tests/integration/control_stop_test.cpp
+++ b/tests/integration/control_stop_test.cpp
@@ -110,5 +110,85 @@
       << fmt::format("{:.1f}", fmt::join(CutAgesMs, ", "));
 }
 
+//! One operator's connection that is open when the leader is stopped.
+struct lingering_case {
+  std::string Name;
+  std::string Sent; //!< By the operator, before the signal.
+};
+
+void PrintTo(const lingering_case &Case, std::ostream *Out) {
+  *Out << Case.Name;
+}
+
+class lingering_connection : public testing::TestWithParam<lingering_case> {
+protected:
+  lingering_connection() {
+    deployment_plan Plan;
+    Plan.ControlHosts = 3;
+    Plan.FailureDomains = {"a", "b", "c"};
+    Group = deployment::builder().withPlan(Plan).build();
+  }
+
+  std::string addressOf(const std::string &Id) {
+    return std::string(
+        Group->at(Id).Description.at("admin_address").as_string());
+  }
+
+  //! Id of a host, but \p Without, that is the confirmed leader and takes
+  //! connections.
+  std::string servingLeader(const std::string &Without) {
+    for (const char *Id : {"c1", "c2", "c3"})
+      try {
+        if (Id == Without)
+          continue;
+        raw_connection Connection(addressOf(Id));
+        Connection.send("GET /v1/status HTTP/1.1\r\nHost: test\r\n"
+                        "Authorization: Bearer operator-credential\r\n"
+                        "Connection: close\r\n\r\n");
+        if (Connection.receive(seconds(3)).starts_with("HTTP/1.1 200"))
+          return Id;
+      } catch (const boost::system::system_error &) {
+      }
+    return {};
+  }
+
+  std::string awaitServingLeader(const std::string &Without = {}) {
+    std::string Found;
+    waitUntil([&] { return !(Found = servingLeader(Without)).empty(); },
+              seconds(10));
+    return Found;
+  }
+
+  std::unique_ptr<deployment> Group;
+};
+
+// A leader that drains is asked by nobody and replaced by nobody.
+TEST_P(lingering_connection,
+       leaves_operators_without_a_leader_for_3_s_at_most) {
+  const std::string Leader = awaitServingLeader();
+  ASSERT_NE(Leader, "");
+  raw_connection Lingering(addressOf(Leader));
+  Lingering.send(GetParam().Sent);
+  std::this_thread::sleep_for(milliseconds(100));
+  const auto Signalled = steady_clock::now();
+  Group->at(Leader).Process->signal(SIGTERM);
+  const std::string Next = awaitServingLeader(Leader);
+  const auto Waited =
+      std::chrono::duration_cast<milliseconds>(steady_clock::now() - Signalled);
+  EXPECT_NE(Next, "");
+  EXPECT_LE(Waited, seconds(3)) << Waited.count() << " ms";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, lingering_connection,
+    testing::Values(lingering_case{"idle", ""},
+                    lingering_case{"half_a_header",
+                                   "GET /v1/status HTTP/1.1\r\nHost: t"},
+                    lingering_case{"half_a_body",
+                                   "POST /v1/keys HTTP/1.1\r\nHost: test\r\n"
+                                   "Authorization: Bearer operator-credential"
+                                   "\r\nContent-Length: 100\r\n\r\n{"}),
+    [](const auto &Info) { return Info.param.Name; });
+
 } // namespace
 } // namespace pomelo::emulator
