Servers: one wait for the next request on a kept connection

Cause: when the connections of both servers were put into kept_connections, the wait for the first bytes of a request was written again in simple_server, with its own constant.

Change: awaitRequest() stands beside the connections; both servers call it.

--- a/src/pomeloswitch/http/caller_server.cpp
+++ b/src/pomeloswitch/http/caller_server.cpp
@@ -32,7 +32,7 @@
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr auto RefusalTimeout = std::chrono::seconds(2);
-constexpr std::size_t FirstReadBytes = 4096;
+constexpr std::size_t DiscardChunkBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 
 tcp::acceptor listenOn(asio::io_context &Io, const tcp::endpoint &Address) {
@@ -58,7 +58,7 @@
   Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
   // If unread bytes remained when the socket is closed, the kernel would reset
   // the connection, possibly before the caller has read the response.
-  std::array<char, FirstReadBytes> Rest{};
+  std::array<char, DiscardChunkBytes> Rest{};
   std::size_t Count = 1;
   for (std::size_t Read = 0; Count > 0 && Read < MaxDiscardedBytes;
        Read += Count)
@@ -144,19 +144,12 @@
   std::size_t Allowance = callerBounds().HeaderBytes;
   Connection.Buffer.max_size(
       std::max({Allowance, MaxUnparsedBytes, Connection.Buffer.size()}));
-  error_code Error;
-  if (Connection.Buffer.size() == 0) {
-    const std::chrono::milliseconds IdleTimeout(callerBounds().IdleTimeoutMs);
-    Connection.Stream.expires_after(Context.Stopping
-                                        ? std::min(IdleTimeout, LastRequestWait)
-                                        : IdleTimeout);
-    const std::size_t Count = co_await Connection.Stream.async_read_some(
-        Connection.Buffer.prepare(FirstReadBytes),
-        asio::redirect_error(asio::use_awaitable, Error));
-    Connection.Buffer.commit(Count);
-    if (Error)
-      co_return false;
-  }
+  const std::chrono::milliseconds IdleTimeout(callerBounds().IdleTimeoutMs);
+  error_code Error = co_await awaitRequest(
+      Connection,
+      Context.Stopping ? std::min(IdleTimeout, LastRequestWait) : IdleTimeout);
+  if (Error)
+    co_return false;
   Connection.Stream.expires_after(
       std::min(Limits.HeaderTimeout,
                std::chrono::milliseconds(callerBounds().HeaderTimeoutMs)));
--- a/src/pomeloswitch/http/kept_connections.cpp
+++ b/src/pomeloswitch/http/kept_connections.cpp
@@ -2,11 +2,33 @@
 
 #include "pomeloswitch/http/input_observer.hpp"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <utility>
 
 namespace pomelo {
-
-using boost::asio::ip::tcp;
+namespace {
+
+constexpr std::size_t FirstReadBytes = 4096;
+
+} // namespace
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+asio::awaitable<boost::system::error_code>
+awaitRequest(kept_connection &Connection, std::chrono::milliseconds Timeout) {
+  boost::system::error_code Error;
+  if (Connection.Buffer.size() > 0)
+    co_return Error;
+  Connection.Stream.expires_after(Timeout);
+  const std::size_t Count = co_await Connection.Stream.async_read_some(
+      Connection.Buffer.prepare(FirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, Error));
+  Connection.Buffer.commit(Count);
+  co_return Error;
+}
 
 kept_connections::registration::registration(
     std::shared_ptr<connection_set> GivenConnections, tcp::socket Socket)
--- a/src/pomeloswitch/http/kept_connections.hpp
+++ b/src/pomeloswitch/http/kept_connections.hpp
@@ -2,9 +2,11 @@
 #ifndef POMELOSWITCH_HTTP_KEPT_CONNECTIONS_HPP
 #define POMELOSWITCH_HTTP_KEPT_CONNECTIONS_HPP
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -26,6 +28,11 @@
   bool Serving = false; //!< A request was read and is not answered yet.
 };
 
+//! Waits until a request begins to arrive, for \p Timeout at most. Returns at
+//! once if one already has.
+boost::asio::awaitable<boost::system::error_code>
+awaitRequest(kept_connection &Connection, std::chrono::milliseconds Timeout);
+
 //! Owned by one thread; provides no locking.
 class kept_connections {
   using connection_set = std::set<std::shared_ptr<kept_connection>>;
--- a/src/pomeloswitch/http/simple_server.cpp
+++ b/src/pomeloswitch/http/simple_server.cpp
@@ -23,7 +23,6 @@
 
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
-constexpr std::size_t FirstReadBytes = 4096;
 constexpr std::chrono::milliseconds IdleTimeout{60000};
 constexpr std::chrono::milliseconds WriteTimeout{10000};
 //! For a caller that is slow to read while the server stops.
@@ -54,17 +53,6 @@
   std::size_t &Count;
 };
 
-//! Waits for the first bytes of a request.
-asio::awaitable<void> awaitRequest(kept_connection &Connection,
-                                   std::chrono::milliseconds Timeout) {
-  if (Connection.Buffer.size() > 0)
-    co_return;
-  Connection.Stream.expires_after(Timeout);
-  const std::size_t Count = co_await Connection.Stream.async_read_some(
-      Connection.Buffer.prepare(FirstReadBytes), asio::use_awaitable);
-  Connection.Buffer.commit(Count);
-}
-
 //! Reads a whole request. What frames the body counts as part of it.
 asio::awaitable<void>
 readRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
@@ -124,8 +112,10 @@
   kept_connection &Connection = Registered->connectionOf();
   Connection.Buffer.max_size(MaxUnparsedBytes);
   for (bool KeepAlive = true; KeepAlive;) {
-    co_await awaitRequest(Connection,
-                          Shared->Stopping ? LastRequestWait : IdleTimeout);
+    const error_code Error = co_await awaitRequest(
+        Connection, Shared->Stopping ? LastRequestWait : IdleTimeout);
+    if (Error)
+      co_return;
     const serving_guard Serving(Connection);
     KeepAlive = co_await serveRequest(Connection, *Shared);
   }
