Daemon: signals are named once

Cause: each of the two callers listed its signals twice, for the set that calls back and for the one that lasts to the end of the process.

Change: callAtEach() takes the numbers and does both. Behaviour is as before.

--- a/src/pomeloswitch/cli/daemon.cpp
+++ b/src/pomeloswitch/cli/daemon.cpp
@@ -82,19 +82,29 @@
     Signals->add(Number);
 }
 
-//! Calls \p OnSignal at each of \p Signals. Goes on waiting after the first: an
-//! uncaught signal would end the process.
-void callAtEach(const std::shared_ptr<boost::asio::signal_set> &Signals,
-                const std::function<void(int)> &OnSignal) {
+//! Goes on waiting after the first signal: an uncaught one would end the
+//! process.
+void waitForNext(const std::shared_ptr<boost::asio::signal_set> &Signals,
+                 const std::function<void(int)> &OnSignal) {
   Signals->async_wait(
       [Signals, OnSignal](boost::system::error_code Error, int Number) {
         if (Error)
           return;
         OnSignal(Number);
-        callAtEach(Signals, OnSignal);
+        waitForNext(Signals, OnSignal);
       });
 }
 
+//! Calls \p OnSignal on \p Io at each of \p Numbers.
+void callAtEach(boost::asio::io_context &Io, std::initializer_list<int> Numbers,
+                const std::function<void(int)> &OnSignal) {
+  catchForLife(Numbers);
+  const auto Signals = std::make_shared<boost::asio::signal_set>(Io);
+  for (const int Number : Numbers)
+    Signals->add(Number);
+  waitForNext(Signals, OnSignal);
+}
+
 void reload(const std::function<void()> &OnReload) {
   const component_logger Log("daemon");
   try {
@@ -109,19 +119,15 @@
 
 void stopOnSignal(boost::asio::io_context &Io,
                   const std::function<void()> &OnStop) {
-  catchForLife({SIGTERM, SIGINT});
-  callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGTERM, SIGINT),
-             [OnStop](int Number) {
-               component_logger("daemon").info("Signal {} received.", Number);
-               OnStop();
-             });
+  callAtEach(Io, {SIGTERM, SIGINT}, [OnStop](int Number) {
+    component_logger("daemon").info("Signal {} received.", Number);
+    OnStop();
+  });
 }
 
 void reloadOnSignal(boost::asio::io_context &Io,
                     const std::function<void()> &OnReload) {
-  catchForLife({SIGHUP});
-  callAtEach(std::make_shared<boost::asio::signal_set>(Io, SIGHUP),
-             [OnReload](int) { reload(OnReload); });
+  callAtEach(Io, {SIGHUP}, [OnReload](int) { reload(OnReload); });
 }
 
 void writeReadyFile(const std::string &Path, std::string_view Description) {
