Tests: run state and log file are read by what there is

Cause: stop_test wrote again how two other tests read Pomelo-Run-State, and how readFile() reads a file.

Change: http_answer::runState() serves the three tests; the log is read with readFile(). The assertions are as they were.

--- a/tests/http/exchange_test.cpp
+++ b/tests/http/exchange_test.cpp
@@ -40,8 +40,7 @@
   traffic_fixture Traffic(Target.address(), 2);
   const auto Answer = Traffic.call("POST", Case.Target, "body");
   EXPECT_EQ(Answer.Status, Case.Status) << Answer.Body << Answer.Failure;
-  const auto State = Answer.Header.find("Pomelo-Run-State");
-  EXPECT_EQ(State == Answer.Header.end() ? "" : State->second, Case.RunState);
+  EXPECT_EQ(Answer.runState(), Case.RunState);
   EXPECT_LE(Target.requests(), Case.MaxRequests);
 }
 
--- a/tests/http/stray_response_test.cpp
+++ b/tests/http/stray_response_test.cpp
@@ -42,8 +42,7 @@
   }
   const auto Answer = Traffic.call("POST", Case.Route, "body");
   EXPECT_EQ(Answer.Status, Case.Status) << Answer.Failure;
-  const auto State = Answer.Header.find("Pomelo-Run-State");
-  EXPECT_EQ(State == Answer.Header.end() ? "" : State->second, Case.RunState);
+  EXPECT_EQ(Answer.runState(), Case.RunState);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -1,12 +1,11 @@
 #include "emulator/deployment.hpp"
+#include "pomeloswitch/settings/json_document.hpp"
 
 #include <boost/json/object.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <thread>
 #include <tuple>
 #include <vector>
@@ -48,11 +47,6 @@
   std::string Key;
 };
 
-std::string runStateOf(const http_answer &Answer) {
-  const auto State = Answer.Header.find("Pomelo-Run-State");
-  return State == Answer.Header.end() ? "" : State->second;
-}
-
 //! An entry host that takes new requests for 2 s after SIGTERM and ends 0.5 s
 //! later, before a target that takes 1 s for a request.
 class stop : public stopped_host {
@@ -73,7 +67,7 @@
   std::this_thread::sleep_for(milliseconds(1800));
   const auto Late = send("/certificates/late");
   EXPECT_EQ(Late.Status, 503) << Late.Failure;
-  EXPECT_EQ(runStateOf(Late), "not_run");
+  EXPECT_EQ(Late.runState(), "not_run");
 }
 
 //! An entry host whose stop lasts 1.5 s at most, before targets with more work.
@@ -97,10 +91,7 @@
                ? std::filesystem::file_size(Journal)
                : 0;
   }
-  std::string hostLog() {
-    std::ifstream File(Deployment->at("a-e1").LogFile);
-    return {std::istreambuf_iterator<char>(File), {}};
-  }
+  std::string hostLog() { return readFile(Deployment->at("a-e1").LogFile); }
 
   std::string Journal;
 };
@@ -113,7 +104,7 @@
   host().signal(SIGTERM);
   Caller.join();
   EXPECT_EQ(Answer.Status, 502) << Answer.Failure;
-  EXPECT_EQ(runStateOf(Answer), "unknown");
+  EXPECT_EQ(Answer.runState(), "unknown");
   EXPECT_EQ(host().wait(seconds(3)), 0);
   EXPECT_EQ(hostLog().find("request_cut"), std::string::npos);
 }
--- a/tools/emulator/http_call.hpp
+++ b/tools/emulator/http_call.hpp
@@ -21,6 +21,12 @@
   std::map<std::string, std::string> Header; //!< Names as sent.
   std::string Body;
   std::string Failure; //!< Error message if Status is 0.
+
+  //! Value of the field Pomelo-Run-State; empty if there is none.
+  [[nodiscard]] std::string runState() const {
+    const auto State = Header.find("Pomelo-Run-State");
+    return State == Header.end() ? "" : State->second;
+  }
 };
 
 //! Sends \p Call to \p Address on a new connection.
